Add the workspace and the sans-I/O core

Cause: the repository was empty. The core is a set of modules without input or output: base, config, flow, upstream, fleet, report and entry. Ruled out: JSON-RPC for the hand-over of a leaver (a second reliable channel beside the confirmed entry stream that every change of holders needs anyway).

--- /dev/null
+++ b/modules/sapphirespan_config/tests/SettingsTest.cpp
@@ -0,0 +1,81 @@
+#include "sapphirespan_config/sapphirespan_config.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace sapphirespan;
+
+namespace {
+
+const std::string goodSettings = R"(instance: entry-1
+data_centre: fen-a
+listen: {ingress: "127.0.0.1:6081", peer: "127.0.0.1:6082", control: "127.0.0.1:6083"}
+return_path: 127.0.0.1:6084
+platform: 127.0.0.1:6085
+peers: ["127.0.0.1:6082", "127.0.0.1:7082"]
+key_file: keys.yaml
+timing: {heartbeat: 100ms, lease: 1s}
+)";
+
+/** A key file in the test's working folder, removed at the end of the test. */
+class KeyFile
+{
+public:
+    KeyFile(const std::string &text, std::filesystem::perms permissions)
+    {
+        std::ofstream(m_path) << text;
+        std::filesystem::permissions(m_path, permissions);
+    }
+    ~KeyFile()
+    {
+        std::filesystem::remove(m_path);
+    }
+    KeyFile(const KeyFile &) = delete;
+    KeyFile &operator=(const KeyFile &) = delete;
+
+    std::optional<KeyRing> load() const
+    {
+        FindingList findings;
+        return loadKeyRing(m_path, findings);
+    }
+
+private:
+    std::string m_path = "settings-test-keys.yaml";
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(readsSettings)
+{
+    FindingList findings;
+    const auto settings = parseInstanceSettings("s.yaml", goodSettings, findings);
+    BOOST_REQUIRE(findings.isEmpty());
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->seeds.size() == 1U); // its own endpoint is left out
+    BOOST_CHECK(settings->timing.lease == std::chrono::seconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(aLeaseShorterThanThreeHeartbeatsIsAFinding)
+{
+    FindingList findings;
+    auto text = goodSettings;
+    text.replace(text.find("lease: 1s"), 9, "lease: 250ms");
+    BOOST_TEST(!parseInstanceSettings("s.yaml", text, findings).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(keyFilesMustBePrivate)
+{
+    using std::filesystem::perms;
+    const std::string two = "keys:\n  - {id: 1, secret: " + std::string(64, 'a') + "}\n  - {id: 2, secret: " + std::string(64, 'b') + "}\n";
+    {
+        const auto ring = KeyFile(two, perms::owner_read | perms::owner_write).load();
+        BOOST_REQUIRE(ring);
+        BOOST_TEST(ring->keys.size() == 2U);
+        BOOST_TEST((ring->find(2) != nullptr));
+        BOOST_TEST((ring->find(3) == nullptr));
+    }
+    BOOST_TEST(!KeyFile(two, perms::owner_read | perms::group_read).load().has_value());
+    BOOST_TEST(!KeyFile("keys:\n  - {id: 1, secret: abc}\n", perms::owner_read).load().has_value());
+}
