Serve requests end to end through separate processes

Cause: the core had no sockets, no platform and nobody to talk to. Adds the net and platform modules, the daemon, the operators' program, the stand-ins of platform, fabric, upstreams and callers (lwIP), and the demo.

--- /dev/null
+++ b/apps/sapphirespan/main.cpp
@@ -0,0 +1,92 @@
+/** @file
+    sapphirespan: the operators' program: check, publish, status, verify, explain and version.
+*/
+#include "Commands.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+
+DEFINE_string(platform, "", "the platform's object API, ip:port");
+DEFINE_string(instance, "", "control endpoint of an instance, ip:port");
+DEFINE_string(format, "text", "text or json");
+DEFINE_string(resume, "", "publish id of a publication whose outcome is unknown");
+DEFINE_string(wait, "0s", "longest time to wait until a generation is in force everywhere");
+DEFINE_string(protocol, "tcp", "tcp or udp");
+
+namespace {
+
+using sapphirespan::CommandOptions;
+using sapphirespan::ExitCode;
+
+constexpr const char *versionText = "sapphirespan 0.1.0";
+constexpr const char *usageText = "usage: sapphirespan COMMAND [OPTIONS]\n"
+                                  "  check PATH...                 check service files\n"
+                                  "  publish PATH...               check and publish service files\n"
+                                  "  status                        who has the newest generation in force\n"
+                                  "  verify                        recompute digests and compare instances\n"
+                                  "  explain CALLER SERVICE        where a flow goes, and why\n"
+                                  "  version                       print the version\n"
+                                  "options: --platform --instance --format --resume --wait --protocol\n";
+
+ExitCode runVersion(const CommandOptions & /*options*/)
+{
+    std::printf("%s\n", versionText);
+    return ExitCode::clean;
+}
+
+struct Command {
+    std::string_view name;
+    ExitCode (*run)(const CommandOptions &options);
+};
+
+constexpr std::array<Command, 6> commands{ {
+    { "check", sapphirespan::runCheck },
+    { "publish", sapphirespan::runPublish },
+    { "status", sapphirespan::runStatus },
+    { "verify", sapphirespan::runVerify },
+    { "explain", sapphirespan::runExplain },
+    { "version", runVersion },
+} };
+
+/** @returns the options, or nothing when a flag's value is malformed. */
+std::optional<CommandOptions> readOptions(int argc, char **argv)
+{
+    CommandOptions options;
+    options.platform = sapphirespan::Endpoint::parse(FLAGS_platform);
+    options.instance = sapphirespan::Endpoint::parse(FLAGS_instance);
+    options.isJson = FLAGS_format == "json";
+    options.resume = FLAGS_resume;
+    options.protocol = FLAGS_protocol;
+    const auto wait = sapphirespan::parseDuration(FLAGS_wait);
+    const bool isFormatKnown = options.isJson || FLAGS_format == "text";
+    const bool areEndpointsRead = (FLAGS_platform.empty() || options.platform) && (FLAGS_instance.empty() || options.instance);
+    if (!wait || !isFormatKnown || !areEndpointsRead || (FLAGS_protocol != "tcp" && FLAGS_protocol != "udp")) {
+        return std::nullopt;
+    }
+    options.wait = *wait;
+    options.arguments.assign(argv + 2, argv + argc);
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(usageText);
+    gflags::SetVersionString(versionText);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string_view name = argc >= 2 ? argv[1] : "";
+    for (const auto &command : commands) {
+        if (command.name != name) {
+            continue;
+        }
+        if (const auto options = readOptions(argc, argv)) {
+            return static_cast<int>(command.run(*options));
+        }
+        std::fprintf(stderr, "a flag has a malformed value\n");
+        return static_cast<int>(ExitCode::usage);
+    }
+    std::fputs(usageText, stderr);
+    return static_cast<int>(ExitCode::usage);
+}
--- /dev/null
+++ b/modules/sapphirespan_net/http/HttpClient.cpp
@@ -0,0 +1,132 @@
+#include "sapphirespan_net/http/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace sapphirespan {
+
+namespace {
+
+constexpr std::size_t largestAnswerBytes = 2 << 20;
+
+evhttp_cmd_type commandOf(HttpMethod method)
+{
+    switch (method) {
+    case HttpMethod::put:
+        return EVHTTP_REQ_PUT;
+    case HttpMethod::post:
+        return EVHTTP_REQ_POST;
+    case HttpMethod::remove:
+        return EVHTTP_REQ_DELETE;
+    case HttpMethod::get:
+    case HttpMethod::count:
+        break;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+HttpResponse responseOf(evhttp_request *request)
+{
+    HttpResponse response;
+    response.status = evhttp_request_get_response_code(request);
+    auto *buffer = evhttp_request_get_input_buffer(request);
+    response.body.resize(evbuffer_get_length(buffer));
+    evbuffer_copyout(buffer, response.body.data(), response.body.size());
+    const auto *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *field = headers->tqh_first; field != nullptr; field = field->next.tqe_next) {
+        std::string name = field->key;
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        response.headers[name] = field->value;
+    }
+    return response;
+}
+
+} // namespace
+
+struct HttpClient::Call {
+    HttpClient *client = nullptr;
+    evhttp_connection *connection = nullptr;
+    EventHandle deadline;
+    EventHandle cleanup;
+    Callback callback;
+    std::optional<HttpOutcome> outcome;
+
+    Call() = default;
+    ~Call()
+    {
+        if (connection != nullptr) {
+            evhttp_connection_free(connection);
+        }
+    }
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : m_loop(loop)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    for (auto &[call, owned] : m_calls) {
+        owned->outcome = HttpOutcome{}; // libevent may still call back while connections are freed
+    }
+}
+
+void HttpClient::send(const Endpoint &server, HttpMethod method, const std::string &target,
+                      const std::map<std::string, std::string> &headers, const std::string &body, Milliseconds deadline, Callback callback)
+{
+    auto owned = std::make_unique<Call>();
+    auto *call = owned.get();
+    m_calls[call] = std::move(owned);
+    call->client = this;
+    call->callback = std::move(callback);
+    call->connection = evhttp_connection_base_new(m_loop.base(), nullptr, server.address.toText().c_str(), server.port);
+    evhttp_connection_set_max_body_size(call->connection, static_cast<ev_ssize_t>(largestAnswerBytes));
+    auto *request = evhttp_request_new(
+        [](evhttp_request *finished, void *context) {
+            auto *mine = static_cast<Call *>(context);
+            HttpOutcome outcome;
+            outcome.wasSent = true;
+            if (finished != nullptr && evhttp_request_get_response_code(finished) != 0) {
+                outcome.response = responseOf(finished);
+            }
+            mine->client->finish(mine, outcome);
+        },
+        call);
+    evhttp_request_set_error_cb(request, [](evhttp_request_error, void *) {});
+    auto *output = evhttp_request_get_output_headers(request);
+    evhttp_add_header(output, "Host", server.toText().c_str());
+    evhttp_add_header(output, "Connection", "close");
+    for (const auto &[name, value] : headers) {
+        evhttp_add_header(output, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    call->deadline = m_loop.after(deadline, [this, call] { finish(call, { std::nullopt, true }); });
+    if (evhttp_make_request(call->connection, request, commandOf(method), target.c_str()) != 0) {
+        finish(call, {});
+    }
+}
+
+/** The connection must not be freed inside its own callback, so that happens from the loop. */
+void HttpClient::finish(Call *call, const HttpOutcome &outcome)
+{
+    if (call->outcome) {
+        return;
+    }
+    call->outcome = outcome;
+    call->deadline = {};
+    call->cleanup = m_loop.after(Milliseconds(0), [this, call] {
+        const auto owned = std::move(m_calls[call]);
+        m_calls.erase(call);
+        owned->callback(*owned->outcome);
+    });
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/standins/harness/stage.py
@@ -0,0 +1,204 @@
+"""Starts the system and its stand-ins as plain processes on loopback, for the demo, process tests and measurements.
+
+Every process is started by this script and ended by its id. Ports are chosen free.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.request
+
+HOST = "127.0.0.1"
+
+
+def free_ports(count):
+    """Returns distinct ports that are free for TCP and UDP."""
+    held = []
+    ports = []
+    while len(ports) < count:
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held += [tcp, udp]
+        tcp.bind((HOST, 0))
+        try:
+            udp.bind((HOST, tcp.getsockname()[1]))
+            ports.append(tcp.getsockname()[1])
+        except OSError:
+            pass
+    for item in held:
+        item.close()
+    return ports
+
+
+def endpoint(port):
+    return f"{HOST}:{port}"
+
+
+class Stage:
+    """One running system: platform, instances, fabric, upstreams and callers."""
+
+    def __init__(self, build, instances=3, data_centres=1, timing="{heartbeat: 200ms, lease: 1s, probe: 200ms, quiet: 500ms}"):
+        self.build = build
+        self.folder = tempfile.TemporaryDirectory(prefix="sapphirespan-")
+        self.processes = []
+        self.timing = timing
+        self.upstreams = []
+        ports = free_ports(3 + 3 * instances)
+        self.platform_port, self.fabric_port, self.caller_port = ports[:3]
+        self.instances = [
+            {
+                "name": f"entry-{n + 1}",
+                "data_centre": f"dc-{n % data_centres + 1}",
+                "ingress": ports[3 + 3 * n],
+                "peer": ports[4 + 3 * n],
+                "control": ports[5 + 3 * n],
+                "process": None,
+            }
+            for n in range(instances)
+        ]
+        keys = self.path("keys.yaml")
+        with open(os.open(keys, os.O_CREAT | os.O_WRONLY, 0o600), "w") as file:
+            file.write("keys:\n  - {id: 1, secret: " + "5a" * 32 + "}\n")
+
+    def path(self, name):
+        return os.path.join(self.folder.name, name)
+
+    def program(self, name):
+        folder = {"sapphirespan": "apps/sapphirespan", "sapphirespand": "apps/sapphirespand"}.get(name, "standins")
+        return os.path.join(self.build, folder, name)
+
+    def start(self, name, *arguments, log=None):
+        output = open(self.path(log or f"{name}-{len(self.processes)}.log"), "a")
+        process = subprocess.Popen([self.program(name), *arguments], stdout=output, stderr=subprocess.STDOUT)
+        self.processes.append(process)
+        return process
+
+    def start_platform(self):
+        return self.start("standin-platform", f"--listen={endpoint(self.platform_port)}")
+
+    def start_fabric(self, seed=1):
+        pairs = ",".join(f"{endpoint(i['ingress'])}/{endpoint(i['control'])}" for i in self.instances)
+        return self.start("standin-fabric", f"--listen={endpoint(self.fabric_port)}", f"--instances={pairs}", f"--seed={seed}")
+
+    def start_instance(self, instance):
+        settings = self.path(instance["name"] + ".yaml")
+        peers = ", ".join(f'"{endpoint(i["peer"])}"' for i in self.instances)
+        with open(settings, "w") as file:
+            file.write(
+                f"instance: {instance['name']}\n"
+                f"data_centre: {instance['data_centre']}\n"
+                f"listen: {{ingress: \"{endpoint(instance['ingress'])}\", peer: \"{endpoint(instance['peer'])}\","
+                f" control: \"{endpoint(instance['control'])}\"}}\n"
+                f"return_path: \"{endpoint(self.caller_port)}\"\n"
+                f"platform: \"{endpoint(self.platform_port)}\"\n"
+                f"peers: [{peers}]\n"
+                f"key_file: {self.path('keys.yaml')}\n"
+                f"timing: {self.timing}\n"
+            )
+        instance["process"] = self.start("sapphirespand", f"--settings={settings}", log=instance["name"] + ".log")
+
+    def start_instances(self):
+        for instance in self.instances:
+            self.start_instance(instance)
+
+    def add_service(self, name, address, upstreams, extra=""):
+        """Starts upstream stand-ins for a service and writes its file. Returns the file's path."""
+        rows = []
+        for number in range(upstreams):
+            tunnel, status = free_ports(2)
+            process = self.start(
+                "standin-upstream",
+                f"--tunnel={endpoint(tunnel)}",
+                f"--callers={endpoint(self.caller_port)}",
+                f"--service={name}",
+                f"--address={address}",
+                f"--status={endpoint(status)}",
+                f"--name={name}-{number + 1}",
+            )
+            self.upstreams.append({"service": name, "tunnel": tunnel, "status": status, "process": process})
+            rows.append(f'  - {{ip: {HOST}, port: {tunnel}, data_centre: dc-1, status: "{endpoint(status)}"}}')
+        folder = self.path(name)
+        os.makedirs(folder, exist_ok=True)
+        ip, port = address.split(":")
+        file_path = os.path.join(folder, "sapphirespan.yaml")
+        with open(file_path, "w") as file:
+            file.write(f"service: {name}\naddresses:\n  - {{ip: {ip}, port: {port}}}\nupstreams:\n" + "\n".join(rows) + "\n" + extra)
+        return file_path
+
+    def cli(self, *arguments, check=True):
+        result = subprocess.run([self.program("sapphirespan"), *arguments], capture_output=True, text=True, timeout=120)
+        if check and result.returncode != 0:
+            raise RuntimeError(f"sapphirespan {arguments}: exit {result.returncode}\n{result.stdout}{result.stderr}")
+        return result
+
+    def publish(self, *paths, check=True):
+        return self.cli("publish", f"--platform={endpoint(self.platform_port)}", *paths, check=check)
+
+    def wait_in_force(self, seconds=20):
+        return self.cli("status", f"--platform={endpoint(self.platform_port)}", f"--wait={seconds}s", check=False)
+
+    def http(self, port, path, method="GET"):
+        request = urllib.request.Request(f"http://{endpoint(port)}{path}", method=method)
+        with urllib.request.urlopen(request, timeout=2) as response:
+            return response.read().decode()
+
+    def rpc(self, instance, method, **parameters):
+        body = json.dumps({"jsonrpc": "2.0", "id": 1, "method": method, "params": parameters}).encode()
+        request = urllib.request.Request(f"http://{endpoint(instance['control'])}/rpc", data=body, method="POST")
+        with urllib.request.urlopen(request, timeout=2) as response:
+            return json.loads(response.read())["result"]
+
+    def is_ready(self, instance):
+        try:
+            self.http(instance["control"], "/ready")
+            return True
+        except OSError:
+            return False
+
+    def wait_ready(self, instances=None, seconds=20):
+        deadline = time.monotonic() + seconds
+        for instance in instances or self.instances:
+            while not self.is_ready(instance):
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{instance['name']} is not ready after {seconds} s")
+                time.sleep(0.05)
+
+    def start_callers(self, services, connections=200, seconds=10, interval_ms=100):
+        text = ",".join(f"{name}={address}" for name, address in services.items())
+        return self.start(
+            "standin-caller",
+            f"--tunnel={endpoint(self.caller_port)}",
+            f"--fabric={endpoint(self.fabric_port)}",
+            f"--services={text}",
+            f"--connections={connections}",
+            f"--seconds={seconds}",
+            f"--interval_ms={interval_ms}",
+            log="caller.log",
+        )
+
+    def events(self, name):
+        """Returns the JSON log lines of an instance."""
+        with open(self.path(name + ".log")) as file:
+            return [json.loads(line) for line in file if line.startswith("{")]
+
+    def invariant_breaches(self):
+        return sum(1 for i in self.instances for event in self.events(i["name"]) if event["event"] == "invariant_broken")
+
+    def close(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+        self.folder.cleanup()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
