--- a/apps/sapphirespand/Daemon.cpp
+++ b/apps/sapphirespand/Daemon.cpp
@@ -106,11 +106,11 @@
 
 void Daemon::connectPlatform()
 {
-    m_fetcher.signalComplete.connect([this](std::shared_ptr<const Catalogue> catalogue) {
+    m_fetcher.signalComplete.connect([this](const std::shared_ptr<const Catalogue> &catalogue) {
         m_instance.beginBatch();
         m_instance.catalogueArrived(catalogue);
         m_instance.endBatch();
-        m_prober.setCatalogue(m_instance.catalogue());
+        m_prober.setCatalogue(*m_instance.catalogue());
         sendOutputs();
     });
     m_fetcher.signalFailed.connect([this](const std::string &reason) {
--- a/apps/sapphirespand/Prober.cpp
+++ b/apps/sapphirespand/Prober.cpp
@@ -69,10 +69,10 @@
     m_timer = m_loop.every(step, [this] { probeDue(); });
 }
 
-void Prober::setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+void Prober::setCatalogue(const Catalogue &catalogue)
 {
     m_targets.clear();
-    for (const auto &content : catalogue->services) {
+    for (const auto &content : catalogue.services) {
         for (std::size_t ordinal = 0; ordinal < content->upstreams.size(); ++ordinal) {
             const auto &upstream = content->upstreams[ordinal];
             if (upstream.spec.status && !upstream.isRemoved) {
--- a/apps/sapphirespand/Prober.h
+++ b/apps/sapphirespand/Prober.h
@@ -18,7 +18,7 @@
     Prober(EventLoop &loop, Milliseconds interval, Handler handler);
 
     /** Probes the upstreams of a catalogue from now on. */
-    void setCatalogue(std::shared_ptr<const Catalogue> catalogue);
+    void setCatalogue(const Catalogue &catalogue);
 
 private:
     struct Target {
--- a/modules/sapphirespan_flow/tests/BucketTableTest.cpp
+++ b/modules/sapphirespan_flow/tests/BucketTableTest.cpp
@@ -15,6 +15,7 @@
     const auto weights = *rc::gen::suchThat(rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(1, 10)),
                                             [fewest](const auto &list) { return list.size() >= fewest && list.size() <= 40; });
     std::vector<WeightedUpstream> upstreams;
+    upstreams.reserve(weights.size());
     for (const auto weight : weights) {
         upstreams.push_back({ static_cast<UpstreamOrdinal>(upstreams.size()), weight });
     }
--- a/modules/sapphirespan_flow/tests/FlowTableTest.cpp
+++ b/modules/sapphirespan_flow/tests/FlowTableTest.cpp
@@ -47,6 +47,7 @@
     auto entries
         = *rc::gen::map(rc::gen::container<std::vector<std::uint32_t>>(rc::gen::arbitrary<std::uint32_t>()), [](const auto &numbers) {
               std::vector<FlowEntry> made;
+        made.reserve(numbers.size());
               for (const auto number : numbers) {
                   made.push_back(entryOf(1 + number % 8, static_cast<UpstreamOrdinal>(number / 8 % 5), number / 64 % 4));
               }
