Hold entries in every data centre, and hold a lowered steered share

Cause: (1) a cut left the isolated side without entries, so its new owners sent flows off the default to the default; (2) lowering the steered share made buckets direct while entries remained; (3) owner and backup in one place died together. Change: a bucket's holders are the first two in rank and the first of each data centre; while a whole data centre is silent, new flows stay on an open default; the largest share since the latest settlement keeps steering. Ruled out: dropping unknown flows at a new owner (stalls flows that are right).

--- a/modules/sapphirespan_config/catalogue/CatalogueJson.cpp
+++ b/modules/sapphirespan_config/catalogue/CatalogueJson.cpp
@@ -200,6 +200,7 @@
     content.service.name = textAt(value, "name");
     content.number = numberAt<ServiceNumber>(value, "number");
     content.changedAtGeneration = numberAt<std::uint64_t>(value, "changedAtGeneration");
+    content.heldSteeredPermille = numberAt<std::uint32_t>(value, "heldSteeredPermille");
     content.changedAt = WallTime(Milliseconds(numberAt<std::int64_t>(value, "changedAtMs")));
     for (const auto &address : listAt(value, "addresses")) {
         content.service.addresses.push_back(addressFrom(address));
@@ -271,6 +272,7 @@
     value["name"] = content.service.name;
     value["number"] = content.number;
     value["changedAtGeneration"] = Json::UInt64(content.changedAtGeneration);
+    value["heldSteeredPermille"] = content.heldSteeredPermille;
     value["changedAtMs"] = Json::UInt64(content.changedAt.time_since_epoch().count());
     value["addresses"] = Json::arrayValue;
     for (const auto &address : content.service.addresses) {
--- a/modules/sapphirespan_config/catalogue/ServiceContent.cpp
+++ b/modules/sapphirespan_config/catalogue/ServiceContent.cpp
@@ -60,6 +60,7 @@
     }
     content.service = file;
     content.service.upstreams.clear();
+    content.heldSteeredPermille = std::max(content.heldSteeredPermille, file.traffic.steeredPermille);
     content.number = number;
     content.changedAtGeneration = generation;
     auto table = assignBuckets(weightsOf(content.upstreams), previous != nullptr ? previous->targets() : BucketTable{});
@@ -90,6 +91,7 @@
         confirmed.tables.push_back(confirmed.tables.front());
     } else {
         confirmed.tables.resize(1);
+        confirmed.heldSteeredPermille = content.service.traffic.steeredPermille;
     }
     return confirmed;
 }
--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -44,8 +44,7 @@
     status.peer = member.card.peer.toText();
     status.control = member.card.control.toText();
     status.isReachable = member.isReachable;
-    const auto &ranked = state.ranking.candidates();
-    status.isRanked = std::find(ranked.begin(), ranked.end(), member.name.id) != ranked.end();
+    status.isRanked = state.ranking.contains(member.name.id);
     status.generation = member.generation;
     status.sinceHeard = std::chrono::duration_cast<Milliseconds>(state.now - member.lastHeard);
     return status;
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -96,6 +96,7 @@
     SteadyTime lastSlowTick{};
     bool isHeartbeatDue = false;
     bool areRankingsStale = true;
+    bool isPartitionSuspected = false; ///< all instances of some data centre fell silent without leaving
     std::uint64_t heartbeatsSent = 0;
     std::uint64_t nextMessageNumber = 1;
 
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
@@ -6,18 +6,18 @@
 
 namespace {
 
-/** Up to four instances hold a bucket while rankings change: owner and backup, now and soon. */
-using Holders = std::array<InstanceId, 4>;
+/** The instances that hold a bucket now, and those that would by the ranking to come. */
+using Holders = std::array<InstanceId, 2 * mostHolders>;
 
 Holders holdersOf(const Ranking &ranking, const Ranking &copyRanking, std::size_t bucket)
 {
+    Holders holders {};
     const auto &now = ranking.holders(bucket);
     const auto &soon = copyRanking.holders(bucket);
-    Holders holders{ now.owner, now.backup, soon.owner, soon.backup };
-    for (std::size_t index = 1; index < holders.size(); ++index) {
-        if (std::find(holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(index), holders[index])
-            != holders.begin() + static_cast<std::ptrdiff_t>(index)) {
-            holders[index] = noInstance;
+    auto end = std::copy(now.all.begin(), now.all.end(), holders.begin());
+    for (const auto id : soon.all) {
+        if (id != noInstance && !now.contains(id)) {
+            *end++ = id;
         }
     }
     return holders;
@@ -45,7 +45,7 @@
 {
     Holders added{};
     for (std::size_t index = 0; index < after.size(); ++index) {
-        const bool isNew = std::find(before.begin(), before.end(), after[index]) == before.end();
+        const bool isNew = after[index] != noInstance && std::find(before.begin(), before.end(), after[index]) == before.end();
         added[index] = isNew && after[index] != self ? after[index] : noInstance;
     }
     return added;
--- a/modules/sapphirespan_entry/systems/MembershipSystem.cpp
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.cpp
@@ -14,6 +14,7 @@
 
 constexpr auto suspicionHold = 10s; // a silent member may still own buckets on the other side of a cut
 constexpr auto memberForgotten = 60s;
+constexpr Milliseconds partitionHold = 2h; // a data centre that is silent for longer is taken to be gone
 constexpr auto soonestExtraHeartbeat = 20ms;
 constexpr auto longestHandover = 1s;
 constexpr std::uint64_t heartbeatsPerCard = 20;
@@ -34,19 +35,29 @@
 }
 
 template<typename Predicate>
-std::vector<InstanceId> candidatesWhere(const EntryState &state, bool withSelf, Predicate isCandidate)
+std::vector<RankedInstance> candidatesWhere(const EntryState &state, bool withSelf, Predicate isCandidate)
 {
-    std::vector<InstanceId> ids;
+    std::vector<RankedInstance> candidates;
     if (withSelf) {
-        ids.push_back(state.self.id);
+        candidates.push_back({state.self.id, state.settings.dataCentre});
     }
     for (const auto &[id, member] : state.members) {
         if (isCandidate(state, member)) {
-            ids.push_back(id);
+            candidates.push_back({id, member.card.dataCentre});
         }
     }
-    std::sort(ids.begin(), ids.end());
-    return ids;
+    std::sort(candidates.begin(), candidates.end());
+    return candidates;
+}
+
+/** A data centre of which nobody is heard may be cut off rather than dead. */
+bool isPartOfLostDataCentre(const EntryState &state, const MemberRow &lost)
+{
+    if (lost.isReachable || lost.phase != MemberPhase::admitted) {
+        return false;
+    }
+    const auto isHeardThere = [&lost](const auto &pair) { return pair.second.isReachable && pair.second.card.dataCentre == lost.card.dataCentre; };
+    return lost.card.dataCentre != state.settings.dataCentre && std::none_of(state.members.begin(), state.members.end(), isHeardThere);
 }
 
 /** Notes which buckets this instance came to own; entries of those were copies, whose idle time starts anew. */
@@ -126,7 +137,7 @@
             }
             const bool isReady = member.isReachable && member.outgoing.confirmedNumber() >= member.syncMark;
             mine.readyForYou = isReady ? member.name.incarnation : 0;
-            if (!member.isReachable && !mine.card) {
+            if (!member.isSynced && !mine.card) {
                 addCard(state, mine);
             }
         }
@@ -182,10 +193,11 @@
 
 void takeInHeartbeat(EntryState &state, MemberRow &member, const Heartbeat &beat)
 {
-    if (beat.card) {
+    if (beat.card && *beat.card != member.card) {
         state.knownPeers.erase(member.card.peer);
         member.card = *beat.card;
         state.knownPeers.insert(member.card.peer);
+        state.areRankingsStale = true;
     }
     for (const auto &peer : beat.knownPeers) {
         if (peer != state.settings.peer) {
@@ -323,7 +335,7 @@
         if (!row.isReachable && !mayOwn(state, row) && !row.outgoing.isConfirmed()) {
             row.outgoing.restart();
         }
-        if (silence > memberForgotten) {
+        if (silence > (isPartOfLostDataCentre(state, row) ? partitionHold : memberForgotten)) {
             const auto &seeds = state.settings.seeds;
             if (std::find(seeds.begin(), seeds.end(), row.card.peer) == seeds.end()) {
                 state.knownPeers.erase(row.card.peer);
@@ -372,6 +384,8 @@
         copyToNewHolders(state, rankingBefore, copyRankingBefore);
         markSyncPoints(state);
     }
+    state.isPartitionSuspected
+        = std::any_of(state.members.begin(), state.members.end(), [&state](const auto &pair) { return isPartOfLostDataCentre(state, pair.second); });
     refreshAcknowledgements(state);
 }
 
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -82,9 +82,9 @@
 /** Takes one eligible instance for a packet whose bucket this instance cannot work out. */
 InstanceId anyAdmitted(const EntryState &state, InstanceId except)
 {
-    for (const auto id : state.ranking.candidates()) {
-        if (id != state.self.id && id != except) {
-            return id;
+    for (const auto &candidate : state.ranking.candidates()) {
+        if (candidate.id != state.self.id && candidate.id != except) {
+            return candidate.id;
         }
     }
     return noInstance;
--- a/modules/sapphirespan_entry/systems/SteeringSystem.cpp
+++ b/modules/sapphirespan_entry/systems/SteeringSystem.cpp
@@ -9,11 +9,17 @@
 constexpr std::uint32_t permille = 1000;
 
 /** The share is a pure function of the catalogue, and a larger share contains a smaller one. */
-bool isInSteeredShare(const ServiceContent &content, std::size_t bucket)
+bool isInShare(const ServiceContent &content, std::size_t bucket)
 {
     return rendezvousRank(content.number, bucket) % permille < content.service.traffic.steeredPermille;
 }
 
+/** Buckets that a change took out of the share stay steered, since flows may depend on their entries. */
+bool isInHeldShare(const ServiceContent &content, std::size_t bucket)
+{
+    return rendezvousRank(content.number, bucket) % permille < content.heldSteeredPermille;
+}
+
 bool isWarmingUp(const EntryState &state, const ServiceRow &service, const UpstreamRow &upstream)
 {
     return state.now - upstream.openedAt < service.content->service.traffic.slowStart;
@@ -34,7 +40,7 @@
             return SteeringReason::upstream;
         }
     }
-    return isInSteeredShare(content, bucket) ? SteeringReason::share : SteeringReason::none;
+    return isInHeldShare(content, bucket) ? SteeringReason::share : SteeringReason::none;
 }
 
 void refreshSteering(EntryState &state, ServiceRow &service)
@@ -82,15 +88,18 @@
     if (!isSteeringAcknowledged(state, service, bucket)) {
         return false;
     }
+    const auto byDefault = service.content->defaults()[bucket];
+    const bool isDefaultOpen = byDefault != noUpstream && takesNewFlows(service.upstreams[byDefault]);
+    if (state.isPartitionSuspected && isDefaultOpen) {
+        return false; // the other side of a cut could not know of a flow placed elsewhere
+    }
     switch (steeringReason(service, bucket)) {
     case SteeringReason::transition:
         return true;
-    case SteeringReason::upstream: {
-        const auto &upstream = service.upstreams[service.content->defaults()[bucket]];
-        return !takesNewFlows(upstream) || isWarmingUp(state, service, upstream) || isInSteeredShare(*service.content, bucket);
-    }
+    case SteeringReason::upstream:
+        return !isDefaultOpen || isWarmingUp(state, service, service.upstreams[byDefault]) || isInShare(*service.content, bucket);
     case SteeringReason::share:
-        return true;
+        return isInShare(*service.content, bucket);
     case SteeringReason::none:
     case SteeringReason::count:
         break;
