Mend three causes of broken flows found by random planned changes

A leaver went on placing flows while handing over, and a new owner decided unknown flows while the last copies were on their way. Each catalogue change withdrew all acknowledgements, so new flows reached draining upstreams for up to the skew of the change. Acknowledgement now belongs to a bucket: from the generation or the register value since which it is steered without a break. A leaver that ends also says so, instead of being waited for until its lease. Ruled out: longer batches of copies (the break came without any batch).

--- a/apps/sapphirespand/Daemon.cpp
+++ b/apps/sapphirespand/Daemon.cpp
@@ -181,6 +181,8 @@
         return;
     }
     if (m_instance.hasLeft()) {
+        m_instance.sayFarewell();
+        sendOutputs();
         m_loop.stop();
     } else if (now - *m_leavingSince > m_settings.timing.leaveLimit + leaveMargin) {
         m_exitCode = 1;
--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -128,6 +128,12 @@
     }
 }
 
+void EntryInstance::sayFarewell()
+{
+    beginBatch();
+    announceGone(*m_state);
+}
+
 void EntryInstance::tick()
 {
     beginBatch();
--- a/modules/sapphirespan_entry/instance/EntryInstance.h
+++ b/modules/sapphirespan_entry/instance/EntryInstance.h
@@ -123,6 +123,9 @@
     /** Asks the instance to hand its buckets over and leave. Idempotent. */
     void leaveRequested();
 
+    /** Tells peers that the instance forwards nothing any more. To be called once, when hasLeft() is true. */
+    void sayFarewell();
+
     /** Lets time pass: heartbeats, expiry, judgement, repeated copies. Contains its own batch. */
     void tick();
 
--- a/modules/sapphirespan_entry/state/EntryState.cpp
+++ b/modules/sapphirespan_entry/state/EntryState.cpp
@@ -18,6 +18,7 @@
     , invariants(invariantLog)
     , codec(keys)
     , ownedSince(bucketCount)
+    , previousOwner(bucketCount, noInstance)
     , heldUntil(bucketCount)
     , flows(settings.mostFlowEntries)
     , random(settings.randomSeed)
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -18,6 +18,7 @@
 struct RegisterRow {
     UpstreamRegister value;
     SteadyTime changedAt {};
+    SteadyTime steeredAt {}; ///< when this instance learned that it steers; later values that steer too keep it
 };
 
 /** One upstream of one service, as this instance sees it. */
@@ -27,6 +28,7 @@
     bool isRemoved = false; ///< from the catalogue
     bool hasDependents = false; ///< entries off the default exist here in its buckets
     SteadyTime changedAt {}; ///< when this instance learned the register's value
+    SteadyTime steeredAt {}; ///< when it learned that the register steers
     SteadyTime openedAt {}; ///< when it last opened or was added
     LoadEstimate load;
     HealthOpinion opinion;
@@ -40,6 +42,8 @@
     std::vector<UpstreamRow> upstreams; ///< by ordinal
     std::vector<std::uint8_t> isSteered; ///< by bucket
     std::vector<std::uint32_t> steeredSince; ///< by bucket: second of the steady clock
+    std::vector<std::uint32_t> steeringGeneration; ///< by bucket: from which the catalogue steers it; 0 if it does not
+    std::uint64_t defaultsGeneration = 0; ///< from which the default upstreams are as they are
     std::vector<PlacementCandidate> candidates; ///< scratch space of placement, by ordinal
     FlowAccounts accounts;
 };
@@ -106,6 +110,7 @@
     Ranking ranking; ///< over the instances that own buckets, as this instance sees it
     Ranking copyRanking; ///< also over those that may own buckets soon or may still think that they do
     std::vector<SteadyTime> ownedSince; ///< by bucket; meaningful while this instance owns it
+    std::vector<InstanceId> previousOwner; ///< by bucket; whom this instance followed as owner
     std::vector<SteadyTime> heldUntil; ///< by bucket; when this instance was last a holder
 
     CatalogueHead head;
--- a/modules/sapphirespan_entry/systems/MembershipSystem.cpp
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.cpp
@@ -16,7 +16,6 @@
 constexpr auto memberForgotten = 60s;
 constexpr Milliseconds partitionHold = 2h; // a data centre that is silent for longer is taken to be gone
 constexpr auto soonestExtraHeartbeat = 20ms;
-constexpr auto longestHandover = 1s;
 constexpr std::uint64_t heartbeatsPerCard = 20;
 constexpr std::uint64_t heartbeatsPerLoads = 2;
 constexpr std::size_t mostKnownPeersTold = 32;
@@ -31,7 +30,8 @@
 /** Instances that may own buckets soon, or may still believe that they do. */
 bool mayOwn(const EntryState &state, const MemberRow &member)
 {
-    return member.phase != MemberPhase::leaving && member.lastHeard + state.settings.timing.lease + suspicionHold > state.now;
+    const bool isOnItsWayOut = member.phase == MemberPhase::leaving || member.phase == MemberPhase::gone;
+    return !isOnItsWayOut && member.lastHeard + state.settings.timing.lease + suspicionHold > state.now;
 }
 
 template<typename Predicate>
@@ -72,6 +72,7 @@
             isNew[bucket] = 1;
             isAny = true;
             state.ownedSince[bucket] = state.now;
+            state.previousOwner[bucket] = before.holders(bucket).owner;
         }
         if (before.holders(bucket).contains(state.self.id)) {
             state.heldUntil[bucket] = state.now;
@@ -187,6 +188,10 @@
     }
     member.phase = phase;
     state.areRankingsStale = true;
+    if (phase == MemberPhase::gone) {
+        member.isReachable = false;
+        member.isSynced = false;
+    }
     if (phase == MemberPhase::leaving) {
         member.isSynced = false;
         announce(state, InstanceEventKind::memberLeaving, memberText(member), "hands over its buckets");
@@ -399,12 +404,18 @@
     }
 }
 
+void announceGone(EntryState &state)
+{
+    enterPhase(state, MemberPhase::gone);
+    sendHeartbeats(state);
+}
+
 void advanceLeaving(EntryState &state)
 {
-    if (!state.isHandingOver || state.phase == MemberPhase::leaving) {
+    if (!state.isHandingOver || state.phase != MemberPhase::admitted) {
         return;
     }
-    if (areAllCopiesConfirmed(state) || state.now - state.phaseSince > longestHandover) {
+    if (areAllCopiesConfirmed(state) || state.now - state.phaseSince > state.settings.timing.leaveLimit / 2) {
         enterPhase(state, MemberPhase::leaving);
         announce(state, InstanceEventKind::instanceLeaving, state.settings.name, "its buckets have other owners");
         refreshRankings(state);
--- a/modules/sapphirespan_entry/systems/MembershipSystem.h
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.h
@@ -24,6 +24,9 @@
 /** Sends heartbeats that are due. */
 void sendDueHeartbeats(EntryState &state);
 
+/** Sends a last heartbeat that says so. */
+void announceGone(EntryState &state);
+
 /** Moves a leaving instance on once its copies are confirmed. */
 void advanceLeaving(EntryState &state);
 
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -9,6 +9,9 @@
 
 using Bytes = std::span<const std::uint8_t>;
 
+/** Heartbeats that it takes until everybody relays to a new owner, and the copies of the owner before it have come. */
+constexpr int takeOverHeartbeats = 3;
+
 /** A packet under decision. */
 struct Arrival {
     Bytes bytes;
@@ -255,6 +258,23 @@
     forward(state, service, byDefault, arrival);
 }
 
+/** Who may know of a flow that this owner does not know: the successor to whom it is handing over, or the owner before
+    it, whose latest copies may still be on their way. @returns noInstance when nobody may know better
+*/
+InstanceId whoMayKnowBetter(const EntryState &state, const Arrival &arrival)
+{
+    const auto &holders = state.ranking.holders(arrival.bucket);
+    if (holders.owner != state.self.id) {
+        return noInstance;
+    }
+    if (state.isHandingOver) {
+        return holders.backup != arrival.relayedBy ? holders.backup : noInstance;
+    }
+    const auto previous = state.previousOwner[arrival.bucket];
+    const bool isRecent = state.now - state.ownedSince[arrival.bucket] < takeOverHeartbeats * state.settings.timing.heartbeat;
+    return isRecent && previous != arrival.relayedBy && state.ranking.contains(previous) ? previous : noInstance;
+}
+
 /** Decides with the authority of the bucket's owner. */
 void decideAsOwner(EntryState &state, ServiceRow &service, const Arrival &arrival)
 {
@@ -270,6 +290,8 @@
     if (entry != nullptr) {
         touch(state, service, *entry, arrival.view);
         forward(state, service, entry->upstream, arrival);
+    } else if (const auto other = whoMayKnowBetter(state, arrival); other != noInstance && arrival.hopsLeft > 0) {
+        relayTo(state, other, arrival);
     } else if (isNewFlow(state, service, arrival)) {
         placeNewFlow(state, service, arrival);
     } else {
--- a/modules/sapphirespan_entry/systems/SteeringSystem.cpp
+++ b/modules/sapphirespan_entry/systems/SteeringSystem.cpp
@@ -47,8 +47,12 @@
 {
     service.isSteered.resize(bucketCount);
     service.steeredSince.resize(bucketCount);
+    service.steeringGeneration.resize(bucketCount);
     for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
         const bool isSteered = steeringReason(service, bucket) != SteeringReason::none;
+        auto &since = service.steeringGeneration[bucket];
+        const bool isByCatalogue = isInTransition(*service.content, bucket) || isInHeldShare(*service.content, bucket);
+        since = !isByCatalogue ? 0 : since != 0 ? since : static_cast<std::uint32_t>(service.content->changedAtGeneration);
         if (isSteered && service.isSteered[bucket] == 0) {
             service.steeredSince[bucket] = state.nowSeconds;
         }
@@ -71,11 +75,15 @@
 
 bool isSteeringAcknowledged(const EntryState &state, const ServiceRow &service, std::size_t bucket)
 {
-    if (state.lowestGeneration < service.content->changedAtGeneration) {
+    if (state.lowestGeneration < service.defaultsGeneration) {
         return false;
     }
+    const auto generation = service.steeringGeneration[bucket];
+    if (generation != 0 && generation <= state.lowestGeneration) {
+        return true;
+    }
     const auto ordinal = service.content->defaults()[bucket];
-    return ordinal == noUpstream || service.upstreams[ordinal].changedAt <= state.lowestRegistersEqualAt;
+    return ordinal != noUpstream && service.upstreams[ordinal].isSteered && service.upstreams[ordinal].steeredAt <= state.lowestRegistersEqualAt;
 }
 
 bool takesNewFlows(const UpstreamRow &upstream)
--- a/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
+++ b/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
@@ -38,7 +38,8 @@
     if (row.value.version > 0) {
         state.registersDigest ^= digestOfRegister(name, row.value);
     }
-    row = {value, state.now};
+    const bool wasSteered = row.value.isSteered && row.value.version > 0;
+    row = {value, state.now, wasSteered ? row.steeredAt : state.now};
     state.registersDigest ^= digestOfRegister(name, value);
     state.isHeartbeatDue = true;
     if (const auto service = state.services.find(name.service); service != state.services.end()) {
@@ -270,6 +271,7 @@
         upstream.phase = value.phase;
         upstream.isSteered = value.isSteered;
         upstream.changedAt = row->second.changedAt;
+        upstream.steeredAt = row->second.steeredAt;
     }
 }
 
--- a/modules/sapphirespan_fleet/membership/Member.h
+++ b/modules/sapphirespan_fleet/membership/Member.h
@@ -18,12 +18,13 @@
     joining, ///< decides nothing: relays every packet
     admitted, ///< owns buckets
     leaving, ///< owns nothing any more, still forwards
+    gone, ///< forwards nothing any more; said once, at the end
     count
 };
 
 template<>
 struct NameTable<MemberPhase> {
-    static constexpr std::array<std::string_view, enumCount<MemberPhase>> names {"joining", "admitted", "leaving"};
+    static constexpr std::array<std::string_view, enumCount<MemberPhase>> names {"joining", "admitted", "leaving", "gone"};
 };
 
 /** @returns the id of an instance name; never 0. */
--- a/modules/sapphirespan_fleet/streams/EntryStream.cpp
+++ b/modules/sapphirespan_fleet/streams/EntryStream.cpp
@@ -43,6 +43,7 @@
         const auto first = m_pending.begin() + static_cast<std::ptrdiff_t>(m_nextToSend - m_firstPending);
         due.push_back({receiver, m_epoch, m_nextToSend, {first, first + static_cast<std::ptrdiff_t>(count)}});
         m_nextToSend += count;
+        m_highestSent = std::max(m_highestSent, m_nextToSend - 1);
         m_lastSent = now;
     }
     return due;
@@ -50,12 +51,13 @@
 
 void EntryStreamSender::confirm(std::uint32_t epoch, std::uint64_t upTo)
 {
-    if (epoch != m_epoch || upTo < m_firstPending || upTo >= m_nextToSend) {
+    if (epoch != m_epoch || upTo < m_firstPending || upTo > m_highestSent) {
         return;
     }
     const auto confirmed = upTo - m_firstPending + 1;
     m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(confirmed));
     m_firstPending = upTo + 1;
+    m_nextToSend = std::max(m_nextToSend, m_firstPending);
     m_repetitions = 0;
 }
 
--- a/modules/sapphirespan_fleet/streams/EntryStream.h
+++ b/modules/sapphirespan_fleet/streams/EntryStream.h
@@ -51,6 +51,7 @@
     std::uint32_t m_epoch = 1;
     std::uint64_t m_firstPending = 1; ///< number of the first entry of m_pending
     std::uint64_t m_nextToSend = 1;
+    std::uint64_t m_highestSent = 0;
     SteadyTime m_lastSent {};
     SteadyTime m_oldestUnsent {}; ///< when the first entry that was not sent was appended
     int m_repetitions = 0; ///< since the latest confirmation
--- a/modules/sapphirespan_fleet/tests/FleetTest.cpp
+++ b/modules/sapphirespan_fleet/tests/FleetTest.cpp
@@ -171,6 +171,22 @@
     BOOST_TEST(messages < 200U); // once or twice everything, then one message in 1.6 s
 }
 
+BOOST_AUTO_TEST_CASE(aConfirmationBeyondTheRepeatedPartCounts)
+{
+    EntryStreamSender sender;
+    SteadyTime now {1s};
+    for (std::uint64_t key = 1; key <= 500; ++key) {
+        sender.append({EntryChange::placed, key, 1, 1, 0}, now);
+    }
+    sender.takeDue(1, now, 0ms);
+    for (int repetition = 0; repetition < 4; ++repetition) {
+        now += 2s;
+        sender.takeDue(1, now, 0ms);
+    }
+    sender.confirm(1, 500); // of what was sent first, late
+    BOOST_TEST(sender.isConfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(entriesWaitForEachOther)
 {
     EntryStreamSender sender;
--- a/standins/experiment/FleetModel.cpp
+++ b/standins/experiment/FleetModel.cpp
@@ -22,6 +22,7 @@
 constexpr Milliseconds synRetransmission = 1s;
 constexpr Milliseconds drainNewsLimit = 3s;
 constexpr Microseconds fetchTime = 20ms;
+constexpr std::uint64_t mostBrokenNoted = 3;
 constexpr std::size_t longestBacklog = 4096; ///< datagrams that a frozen process's socket keeps
 
 Endpoint endpointOf(unsigned network, std::size_t host, std::uint16_t port)
@@ -286,6 +287,7 @@
 
 void FleetModel::startNode(Node &node)
 {
+    note("start " + node.settings.name);
     ++node.life;
     node.isRunning = true;
     node.isLeaving = false;
@@ -340,6 +342,7 @@
     if (!node.isRunning || node.isFrozen) {
         return;
     }
+    note("leave " + node.settings.name);
     node.isLeaving = true;
     handleBatch(node, [&node] { node.instance->leaveRequested(); });
 }
@@ -429,6 +432,8 @@
         });
     }
     if (node.isLeaving && node.instance->hasLeft()) {
+        node.instance->sayFarewell();
+        sendOutputs(node);
         kill(number);
         return;
     }
@@ -697,10 +702,13 @@
         const auto firstNews = upstream.drainingSince.value_or(Microseconds::max() / 2);
         if (m_events.clock().elapsed() - firstNews > Microseconds(drainNewsLimit)) {
             ++m_counts.lateToDraining;
+            note("flow " + std::to_string(number) + " opened late on draining upstream " + std::to_string(ordinal) + " of service "
+                 + std::to_string(service));
         }
     } else if (*flow.upstream != ordinal) {
         if (!view->isSyn) {
             ++m_counts.brokenAtWrongUpstream;
+            noteBroken(flow, ordinal);
             endFlow(flow);
         }
         return;
@@ -713,6 +721,28 @@
     confirmDelivery(flow);
 }
 
+void FleetModel::note(const std::string &text)
+{
+    m_counts.trace.push_back(std::to_string(m_events.clock().elapsed().count() / 1000) + " ms: " + text);
+}
+
+void FleetModel::noteBroken(const Flow &flow, std::size_t reachedUpstream)
+{
+    if (m_counts.brokenAtWrongUpstream > mostBrokenNoted) {
+        return;
+    }
+    note("flow " + std::to_string(flow.number) + " opened on upstream " + std::to_string(*flow.upstream) + " reached " + std::to_string(reachedUpstream));
+    for (const auto &node : m_nodes) {
+        if (!node->isRunning || node->isFrozen) {
+            continue;
+        }
+        const auto known = node->instance->explain(flow.key);
+        note("  " + node->settings.name + " " + node->instance->status().phase + " steering " + known.steering + " owner " + known.owner + " backup "
+             + known.backup + " default " + known.defaultUpstream + " target " + known.targetUpstream + " entry " + known.entryUpstream
+             + (known.isAcknowledged ? " acknowledged" : ""));
+    }
+}
+
 void FleetModel::deliverRefusal(const std::vector<std::uint8_t> &packet)
 {
     DropReason reason {};
--- a/standins/experiment/FleetModel.h
+++ b/standins/experiment/FleetModel.h
@@ -66,6 +66,9 @@
     /** @returns the counts so far. */
     ModelCounts counts() const;
 
+    /** Adds a line to the trace, with the logical time. */
+    void note(const std::string &text);
+
     /** @returns the accounts of an instance. */
     const EntryInstance &instance(std::size_t number) const;
 
@@ -93,6 +96,7 @@
     void sendFlowPacket(std::size_t flow);
     void confirmDelivery(Flow &flow);
     void endFlow(Flow &flow);
+    void noteBroken(const Flow &flow, std::size_t reachedUpstream);
     void spray(std::vector<std::uint8_t> packet);
     void publishChange(std::size_t service, const std::function<void(ServiceFile &)> &change);
     void teachBaselines(std::size_t service, Milliseconds longestDelay);
--- a/standins/experiment/ModelSettings.h
+++ b/standins/experiment/ModelSettings.h
@@ -71,6 +71,7 @@
     double controlMessagesPerSecond = 0; ///< mean per instance
     std::array<double, enumCount<PeerTraffic>> bytesPerSecondByKind {};
     std::vector<std::string> breachDetails;
+    std::vector<std::string> trace; ///< changes as they began, and the first broken flows with what each instance knew
 
     std::uint64_t broken() const
     {
--- a/standins/experiment/Scenarios.cpp
+++ b/standins/experiment/Scenarios.cpp
@@ -67,6 +67,7 @@
 
 void beginChange(FleetModel &model, Change change, std::size_t service, std::size_t upstream)
 {
+    model.note("begin " + std::string(nameOf(change)) + " service " + std::to_string(service) + " upstream " + std::to_string(upstream));
     switch (change) {
     case Change::none:
     case Change::count:
@@ -148,6 +149,7 @@
         const auto service = random() % settings.services.size();
         const auto upstream = random() % settings.services[service].upstreams;
         if (change == Change::upstreamDrain && drained.contains(service)) {
+            model.note("undrain service " + std::to_string(service) + " upstream " + std::to_string(drained[service]));
             model.undrainUpstream(service, drained[service]);
             drained.erase(service);
         } else if (change == Change::instanceLeave || change == Change::ownerKilled) {
--- a/standins/experiment/main.cpp
+++ b/standins/experiment/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint64(seeds, 1, "number of seeds");
 DEFINE_uint64(seconds, 40, "logical seconds after the last change");
 DEFINE_uint64(random_steps, 0, "instead of --changes: number of random changes");
+DEFINE_bool(trace, false, "print changes, and the first broken flows with what each instance knew");
 DEFINE_bool(failures, false, "random changes include failures");
 DEFINE_double(loss, 0, "share of datagrams between instances that are lost");
 DEFINE_double(duplicate, 0, "share that arrive twice");
@@ -29,6 +30,7 @@
 DEFINE_double(life, -1, "mean life of new flows, in seconds");
 DEFINE_int64(packet_ms, -1, "time between packets of one flow");
 DEFINE_int64(instances, -1, "entry instances");
+DEFINE_int64(warm_up_ms, -1, "logical time before the counts begin");
 DEFINE_int64(slow_report_ms, -1, "lag of the first upstream's load reports");
 
 namespace {
@@ -55,6 +57,7 @@
 {
     settings.links = {FLAGS_loss, FLAGS_duplicate, Microseconds(FLAGS_jitter_us)};
     settings.instances = FLAGS_instances > 0 ? static_cast<std::size_t>(FLAGS_instances) : settings.instances;
+    settings.warmUp = FLAGS_warm_up_ms >= 0 ? Milliseconds(FLAGS_warm_up_ms) : settings.warmUp;
     for (auto &service : settings.services) {
         auto &traffic = service.traffic;
         traffic.steeredPermille = FLAGS_share >= 0 ? static_cast<std::uint32_t>(FLAGS_share) : traffic.steeredPermille;
@@ -89,6 +92,9 @@
     for (std::size_t index = 0; index < std::min<std::size_t>(5, counts.breachDetails.size()); ++index) {
         std::printf("  breach: %s\n", counts.breachDetails[index].c_str());
     }
+    for (std::size_t line = 0; FLAGS_trace && line < counts.trace.size(); ++line) {
+        std::printf("  %s\n", counts.trace[line].c_str());
+    }
     std::fflush(stdout);
 }
 
