Mend the last copies of a bucket that changes its owner

Causes, from traces of random planned changes with 2% loss: the owner before still placed a flow in the last moment of the asking time and its copy was lost; the owner before relayed a packet of a flow that it knew itself to the new owner, which did not; an 'ended' that overtook a new placement under the same addresses and ports removed it. Change: the owner before is asked about unknown open flows for two heartbeats longer than about new ones, and forwards flows that it knows meanwhile; 'ended' names the placement that ended, and 'replaced' supersedes it.

--- a/modules/sapphirespan_entry/state/EntryState.cpp
+++ b/modules/sapphirespan_entry/state/EntryState.cpp
@@ -19,6 +19,7 @@
     , codec(keys)
     , ownedSince(bucketCount)
     , previousOwner(bucketCount, noInstance)
+    , ownedUntil(bucketCount)
     , heldUntil(bucketCount)
     , flows(settings.mostFlowEntries)
     , random(settings.randomSeed)
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -111,6 +111,7 @@
     Ranking copyRanking; ///< also over those that may own buckets soon or may still think that they do
     std::vector<SteadyTime> ownedSince; ///< by bucket; meaningful while this instance owns it
     std::vector<InstanceId> previousOwner; ///< by bucket; whom this instance followed as owner
+    std::vector<SteadyTime> ownedUntil; ///< by bucket; when this instance last lost it as owner
     std::vector<SteadyTime> heldUntil; ///< by bucket; when this instance was last a holder
 
     CatalogueHead head;
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
@@ -68,10 +68,16 @@
 
 void takeIn(EntryState &state, const EntryNews &news)
 {
+    const auto *mine = state.flows.find(news.key);
     if (news.change == EntryChange::ended) {
-        state.flows.remove(news.key);
+        if (mine != nullptr && !isBefore(news.placedAtMs, mine->placedAtMs)) {
+            state.flows.remove(news.key);
+        }
         return;
     }
+    if (news.change == EntryChange::replaced && mine != nullptr && isBefore(mine->placedAtMs, news.placedAtMs)) {
+        state.flows.remove(news.key);
+    }
     const auto outcome = state.flows.merge(entryOf(state, news));
     if (outcome == MergeOutcome::keptMine || outcome == MergeOutcome::tookTheirs) {
         ++state.mergesWithTwoPlacements;
@@ -85,9 +91,11 @@
 
 } // namespace
 
-void copyEntry(EntryState &state, const FlowEntry &entry)
+void copyEntry(EntryState &state, const FlowEntry &entry, EntryChange change)
 {
-    queueFor(state, holdersOf(state.ranking, state.copyRanking, bucketOf(entry.key)), newsOf(entry));
+    auto news = newsOf(entry);
+    news.change = change;
+    queueFor(state, holdersOf(state.ranking, state.copyRanking, bucketOf(entry.key)), news);
 }
 
 void endEntry(EntryState &state, std::uint64_t key)
@@ -100,6 +108,7 @@
         EntryNews news;
         news.change = EntryChange::ended;
         news.key = key;
+        news.placedAtMs = entry->placedAtMs;
         queueFor(state, holdersOf(state.ranking, state.copyRanking, bucketOf(key)), news);
     }
     state.flows.remove(key);
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.h
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.h
@@ -4,8 +4,8 @@
 
 namespace sapphirespan {
 
-/** Queues an entry for every other holder of its bucket. Sent by flushEntryCopies(). */
-void copyEntry(EntryState &state, const FlowEntry &entry);
+/** Queues an entry for every other holder of its bucket. Sent by flushEntryCopies(). @param change placed or replaced */
+void copyEntry(EntryState &state, const FlowEntry &entry, EntryChange change);
 
 /** Removes an entry and tells the other holders that its flow has ended. */
 void endEntry(EntryState &state, std::uint64_t key);
--- a/modules/sapphirespan_entry/systems/MembershipSystem.cpp
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.cpp
@@ -74,6 +74,9 @@
             state.ownedSince[bucket] = state.now;
             state.previousOwner[bucket] = before.holders(bucket).owner;
         }
+        if (!isOwner && before.holders(bucket).owner == state.self.id) {
+            state.ownedUntil[bucket] = state.now;
+        }
         if (before.holders(bucket).contains(state.self.id)) {
             state.heldUntil[bucket] = state.now;
         }
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -9,8 +9,12 @@
 
 using Bytes = std::span<const std::uint8_t>;
 
-/** Heartbeats that it takes until everybody relays to a new owner, and the copies of the owner before it have come. */
-constexpr int takeOverHeartbeats = 3;
+/** Heartbeats after taking a bucket over during which the owner before it still places new flows: until everybody
+    relays to the new owner. */
+constexpr int placingHeartbeats = 3;
+
+/** Heartbeats during which the owner before it is asked about unknown open flows: until its last copies have come. */
+constexpr int askingHeartbeats = 5;
 
 /** A packet under decision. */
 struct Arrival {
@@ -20,6 +24,7 @@
     PacketView view;
     std::uint64_t key = 0;
     std::size_t bucket = 0;
+    bool isReuse = false; ///< opens a new flow under the addresses and ports of one that ended
 };
 
 void drop(EntryState &state, DropReason reason)
@@ -147,7 +152,7 @@
         ++state.entriesNotTaken;
         return false;
     }
-    copyEntry(state, *entry);
+    copyEntry(state, *entry, arrival.isReuse ? EntryChange::replaced : EntryChange::placed);
     return true;
 }
 
@@ -271,12 +276,13 @@
         return holders.backup != arrival.relayedBy ? holders.backup : noInstance;
     }
     const auto previous = state.previousOwner[arrival.bucket];
-    const bool isRecent = state.now - state.ownedSince[arrival.bucket] < takeOverHeartbeats * state.settings.timing.heartbeat;
+    const int heartbeats = arrival.view.isSyn ? placingHeartbeats : askingHeartbeats;
+    const bool isRecent = state.now - state.ownedSince[arrival.bucket] < heartbeats * state.settings.timing.heartbeat;
     return isRecent && previous != arrival.relayedBy && state.ranking.contains(previous) ? previous : noInstance;
 }
 
 /** Decides with the authority of the bucket's owner. */
-void decideAsOwner(EntryState &state, ServiceRow &service, const Arrival &arrival)
+void decideAsOwner(EntryState &state, ServiceRow &service, Arrival &arrival)
 {
     auto *entry = state.flows.find(arrival.key);
     if (entry != nullptr && (entry->service != service.content->number || entry->upstream >= service.upstreams.size())) {
@@ -285,6 +291,7 @@
     }
     if (entry != nullptr && isReused(service, *entry, arrival.view)) {
         endEntry(state, arrival.key);
+        arrival.isReuse = true;
         entry = nullptr;
     }
     if (entry != nullptr) {
@@ -313,8 +320,19 @@
     forward(state, service, byDefault, arrival);
 }
 
+/** An instance that owned the bucket until just now knows flows whose copies may not have reached the new owner yet. */
+bool isKnownFromOwning(EntryState &state, const ServiceRow &service, const Arrival &arrival)
+{
+    const auto since = state.now - state.ownedUntil[arrival.bucket];
+    if (arrival.view.isSyn || since >= askingHeartbeats * state.settings.timing.heartbeat) {
+        return false;
+    }
+    const auto *entry = state.flows.find(arrival.key);
+    return entry != nullptr && entry->service == service.content->number;
+}
+
 /** Sends the packet on to the owner, unless the sender evidently takes this instance for the owner. */
-void decideSteered(EntryState &state, ServiceRow &service, const Arrival &arrival)
+void decideSteered(EntryState &state, ServiceRow &service, Arrival &arrival)
 {
     const auto &holders = state.ranking.holders(arrival.bucket);
     if (holders.owner == state.self.id) {
@@ -326,7 +344,7 @@
         relayTo(state, isOwnerTheSender ? holders.backup : holders.owner, arrival);
         return;
     }
-    if (isOwnerTheSender || holders.owner == noInstance) {
+    if (isOwnerTheSender || holders.owner == noInstance || isKnownFromOwning(state, service, arrival)) {
         decideAsOwner(state, service, arrival);
         return;
     }
--- a/modules/sapphirespan_fleet/messages/PeerMessages.cpp
+++ b/modules/sapphirespan_fleet/messages/PeerMessages.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint32_t messageFields = 4; // sender, incarnation, number, body; the kind leads the body
 constexpr std::size_t placedBytes = 17;
-constexpr std::size_t endedBytes = 9;
+constexpr std::size_t endedBytes = 13;
 
 /** Raised inside this file only, when bytes do not have the shape of a message. */
 struct BadMessage {
@@ -223,10 +223,10 @@
     for (const auto &entry : entries) {
         appendRaw(bytes, entry.change);
         appendRaw(bytes, entry.key);
-        if (entry.change == EntryChange::placed) {
+        appendRaw(bytes, entry.placedAtMs);
+        if (entry.change != EntryChange::ended) {
             appendRaw(bytes, entry.service);
             appendRaw(bytes, entry.upstream);
-            appendRaw(bytes, entry.placedAtMs);
         }
     }
     return bytes;
@@ -242,17 +242,17 @@
 EntryNews takeEntry(std::span<const char> &bytes)
 {
     EntryNews entry;
-    const bool isEnded = !bytes.empty() && static_cast<std::uint8_t>(bytes[0]) == static_cast<std::uint8_t>(EntryChange::ended);
-    const bool isPlaced = !bytes.empty() && static_cast<std::uint8_t>(bytes[0]) == static_cast<std::uint8_t>(EntryChange::placed);
-    if (!(isPlaced && bytes.size() >= placedBytes) && !(isEnded && bytes.size() >= endedBytes)) {
+    const auto change = static_cast<std::uint8_t>(bytes[0]);
+    const bool isEnded = change == static_cast<std::uint8_t>(EntryChange::ended);
+    if (change >= enumCount<EntryChange> || bytes.size() < (isEnded ? endedBytes : placedBytes)) {
         throw BadMessage {};
     }
     takeRaw(bytes, entry.change);
     takeRaw(bytes, entry.key);
-    if (isPlaced) {
+    takeRaw(bytes, entry.placedAtMs);
+    if (!isEnded) {
         takeRaw(bytes, entry.service);
         takeRaw(bytes, entry.upstream);
-        takeRaw(bytes, entry.placedAtMs);
     }
     if (entry.key == 0) {
         throw BadMessage {};
--- a/modules/sapphirespan_fleet/messages/PeerMessages.h
+++ b/modules/sapphirespan_fleet/messages/PeerMessages.h
@@ -86,13 +86,14 @@
 /** What a copied entry says of its flow. */
 enum class EntryChange : std::uint8_t {
     placed,
-    ended,
+    replaced, ///< placed anew after an earlier flow of the same addresses and ports ended
+    ended, ///< with the time at which the ended flow had been placed
     count
 };
 
 template<>
 struct NameTable<EntryChange> {
-    static constexpr std::array<std::string_view, enumCount<EntryChange>> names {"placed", "ended"};
+    static constexpr std::array<std::string_view, enumCount<EntryChange>> names {"placed", "replaced", "ended"};
 };
 
 /** One flow entry on its way to another holder. */
--- a/modules/sapphirespan_fleet/tests/FleetTest.cpp
+++ b/modules/sapphirespan_fleet/tests/FleetTest.cpp
@@ -70,7 +70,7 @@
     const std::vector<PeerMessage> messages {
         sampleHeartbeat(),
         {{1, 2}, 4, RegisterUpdate {{{{1, 2}, {3, 4, UpstreamPhase::down, true}}}}},
-        {{1, 2}, 5, EntryCopy {9, 2, 1, {{EntryChange::placed, 77, 1, 2, 3}, {EntryChange::ended, 78, 0, noUpstream, 0}}}},
+        {{1, 2}, 5, EntryCopy {9, 2, 1, {{EntryChange::placed, 77, 1, 2, 3}, {EntryChange::replaced, 79, 1, 2, 3}, {EntryChange::ended, 78, 0, noUpstream, 5}}}},
         {{1, 2}, 6, EntryAcknowledgement {9, 2, 64}},
     };
     const PeerCodec codec(ringOf({1}));
--- a/standins/experiment/FleetModel.cpp
+++ b/standins/experiment/FleetModel.cpp
@@ -52,6 +52,7 @@
     bool isLeaving = false;
     bool isSeenByFabric = false;
     bool isFetching = false;
+    std::optional<Microseconds> joiningSince; ///< until it is admitted
 };
 
 /** One server. */
@@ -80,6 +81,7 @@
     std::size_t service = 0;
     FlowKey key;
     std::optional<std::size_t> upstream; ///< ordinal that first took the opening packet
+    Microseconds openedAt {0}; ///< when it did
     Microseconds endsAt {0};
     Microseconds waitingSince {0}; ///< when the packet that waits for delivery was first sent
     Milliseconds nextRetransmission {0};
@@ -289,6 +291,7 @@
 {
     note("start " + node.settings.name);
     ++node.life;
+    node.joiningSince = m_events.clock().elapsed();
     node.isRunning = true;
     node.isLeaving = false;
     node.isFrozen = false;
@@ -388,13 +391,13 @@
     return numbers;
 }
 
-bool FleetModel::isSettled() const
+std::size_t FleetModel::unsettled() const
 {
     const auto numbers = running();
-    return std::all_of(numbers.begin(), numbers.end(), [this](std::size_t number) {
+    return static_cast<std::size_t>(std::count_if(numbers.begin(), numbers.end(), [this](std::size_t number) {
         const auto &instance = *m_nodes[number]->instance;
-        return instance.isReady() && instance.catalogue()->head.generation == m_catalogue->head.generation;
-    });
+        return !instance.isReady() || instance.catalogue()->head.generation != m_catalogue->head.generation;
+    }));
 }
 
 std::pair<std::size_t, std::size_t> FleetModel::busiestHolders() const
@@ -424,6 +427,12 @@
     node.instance->tick();
     sendOutputs(node);
     fetchFromPeer(node);
+    if (node.joiningSince && node.instance->isReady()) {
+        const auto took = (m_events.clock().elapsed() - *node.joiningSince).count() / 1000;
+        m_counts.worstJoinMs = std::max<std::int64_t>(m_counts.worstJoinMs, took);
+        node.joiningSince.reset();
+        note("admitted " + node.settings.name + " after " + std::to_string(took) + " ms");
+    }
     if (node.instance->isReady() != node.isSeenByFabric) {
         m_events.after(m_settings.fabricLag, [&node, life] {
             if (node.life == life) {
@@ -698,6 +707,7 @@
     ++m_counts.packetsDelivered;
     if (!flow.upstream) {
         flow.upstream = ordinal;
+        flow.openedAt = m_events.clock().elapsed();
         upstream.flows.insert(number);
         const auto firstNews = upstream.drainingSince.value_or(Microseconds::max() / 2);
         if (m_events.clock().elapsed() - firstNews > Microseconds(drainNewsLimit)) {
@@ -731,7 +741,7 @@
     if (m_counts.brokenAtWrongUpstream > mostBrokenNoted) {
         return;
     }
-    note("flow " + std::to_string(flow.number) + " opened on upstream " + std::to_string(*flow.upstream) + " reached " + std::to_string(reachedUpstream));
+    note("flow " + std::to_string(flow.number) + " opened at " + std::to_string(flow.openedAt.count() / 1000) + " ms on upstream " + std::to_string(*flow.upstream) + " reached " + std::to_string(reachedUpstream));
     for (const auto &node : m_nodes) {
         if (!node->isRunning || node->isFrozen) {
             continue;
@@ -844,6 +854,7 @@
 {
     auto counts = m_counts;
     counts.slotImbalance = slotImbalance();
+    counts.unsettled = m_settings.scheme == Scheme::steering ? unsettled() : 0;
     counts.meanImbalance = m_samples > 0 ? m_counts.meanImbalance / static_cast<double>(m_samples) : 0;
     auto traffic = m_trafficOfEnded;
     auto messages = m_messagesOfEnded;
--- a/standins/experiment/FleetModel.h
+++ b/standins/experiment/FleetModel.h
@@ -51,8 +51,8 @@
     /** @returns instances that run and are not frozen, by number. */
     std::vector<std::size_t> running() const;
 
-    /** @returns whether every running instance is admitted and has the newest generation. */
-    bool isSettled() const;
+    /** @returns the running instances that are not admitted or lack the newest generation. */
+    std::size_t unsettled() const;
 
     /** @returns owner and backup, by number, of most buckets that hold an entry; used to aim failures. */
     std::pair<std::size_t, std::size_t> busiestHolders() const;
--- a/standins/experiment/ModelSettings.h
+++ b/standins/experiment/ModelSettings.h
@@ -62,6 +62,8 @@
     std::uint64_t refused = 0; ///< new flows refused
     std::uint64_t lateToDraining = 0; ///< new flows on a draining upstream later than 3 s after the first news
     std::uint64_t invariantBreaches = 0;
+    std::int64_t worstJoinMs = 0; ///< longest time from the start of an instance until it was admitted
+    std::uint64_t unsettled = 0; ///< instances that are not admitted, or lack the newest generation, at the end
     std::uint64_t relayed = 0;
     std::uint64_t entries = 0; ///< most entries held by one instance at the end
     double worstImbalance = 0; ///< largest max/mean of connections by weight over the samples; cold upstreams count after slow start
--- a/standins/experiment/main.cpp
+++ b/standins/experiment/main.cpp
@@ -74,16 +74,18 @@
 {
     std::printf(
         "scheme=%s seed=%llu flows=%llu delivered=%llu relayed=%llu broken=%llu (wrong=%llu stalled=%llu refused=%llu) misdelivered=%llu "
-        "refusals=%llu untrue=%llu late_to_draining=%llu breaches=%llu\n",
+        "refusals=%llu untrue=%llu late_to_draining=%llu unsettled=%llu breaches=%llu\n",
         nameOf(scheme).data(), static_cast<unsigned long long>(seed), static_cast<unsigned long long>(counts.flowsOpened),
         static_cast<unsigned long long>(counts.packetsDelivered), static_cast<unsigned long long>(counts.relayed),
         static_cast<unsigned long long>(counts.broken()), static_cast<unsigned long long>(counts.brokenAtWrongUpstream),
         static_cast<unsigned long long>(counts.brokenByStall), static_cast<unsigned long long>(counts.brokenByRefusal),
         static_cast<unsigned long long>(counts.misdelivered), static_cast<unsigned long long>(counts.refused),
         static_cast<unsigned long long>(counts.untrueRefusals), static_cast<unsigned long long>(counts.lateToDraining),
+                static_cast<unsigned long long>(counts.unsettled),
         static_cast<unsigned long long>(counts.invariantBreaches));
     std::printf("  connections max/mean: worst %.3f mean %.3f; slot time max/mean %.3f; entries %llu\n", counts.worstImbalance,
                 counts.meanImbalance, counts.slotImbalance, static_cast<unsigned long long>(counts.entries));
+    std::printf("  longest join %lld ms\n", static_cast<long long>(counts.worstJoinMs));
     std::printf("  control an instance: %.0f B/s, %.1f messages/s", counts.controlBytesPerSecond, counts.controlMessagesPerSecond);
     for (std::size_t kind = 0; kind < enumCount<PeerTraffic>; ++kind) {
         std::printf(", %s %.0f B/s", nameOf(static_cast<PeerTraffic>(kind)).data(), counts.bytesPerSecondByKind[kind]);
