Repeat lost entry copies while new ones keep coming

Cause: each new entry put off the repetition of an unconfirmed one, so a joiner waited up to 47.8 s for its last entries (trace: 'not ready' members). Change: the wait counts from the first unconfirmed entry or the latest progress. Test: FleetTest/aLostMessageIsRepeatedWhileNewEntriesKeepComing. Also counts 'late to draining' from the news at the first instance, as the promise says, and names a joiner's hindrances in status and trace.

--- a/apps/sapphirespand/StatusJson.cpp
+++ b/apps/sapphirespand/StatusJson.cpp
@@ -14,6 +14,9 @@
     value["control"] = member.control;
     value["reachable"] = member.isReachable;
     value["ranked"] = member.isRanked;
+    value["ready_for_us"] = member.isReadyForUs;
+    value["same_registers"] = member.hasSameRegisters;
+    value["confirmed"] = member.isConfirmed;
     value["generation"] = Json::UInt64(member.generation);
     value["heard_ms_ago"] = Json::Int64(member.sinceHeard.count());
     return value;
--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -45,6 +45,9 @@
     status.control = member.card.control.toText();
     status.isReachable = member.isReachable;
     status.isRanked = state.ranking.contains(member.name.id);
+    status.isReadyForUs = member.isReadyForUs;
+    status.hasSameRegisters = member.registersDigest == state.registersDigest;
+    status.isConfirmed = member.outgoing.confirmedNumber() >= member.syncMark;
     status.generation = member.generation;
     status.sinceHeard = std::chrono::duration_cast<Milliseconds>(state.now - member.lastHeard);
     return status;
--- a/modules/sapphirespan_entry/instance/EntryInstance.h
+++ b/modules/sapphirespan_entry/instance/EntryInstance.h
@@ -47,6 +47,9 @@
     std::string control;
     bool isReachable = false;
     bool isRanked = false;
+    bool isReadyForUs = false; ///< it says that this instance holds all entries meant for it
+    bool hasSameRegisters = false; ///< it knows the same phases of upstreams
+    bool isConfirmed = false; ///< it confirmed all entries that it needs before it is ranked
     std::uint64_t generation = 0;
     Milliseconds sinceHeard {0};
 };
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
@@ -180,7 +180,7 @@
 void receiveEntryAcknowledgement(EntryState &state, MemberRow &member, const EntryAcknowledgement &acknowledgement)
 {
     if (acknowledgement.sender == state.self.incarnation) {
-        member.outgoing.confirm(acknowledgement.epoch, acknowledgement.upTo);
+        member.outgoing.confirm(acknowledgement.epoch, acknowledgement.upTo, state.now);
     }
 }
 
--- a/modules/sapphirespan_fleet/streams/EntryStream.cpp
+++ b/modules/sapphirespan_fleet/streams/EntryStream.cpp
@@ -31,9 +31,12 @@
 {
     std::vector<EntryCopy> due;
     const bool isWaiting = m_nextToSend > m_firstPending;
-    if (isWaiting && now - m_lastSent >= confirmationLate * (1 << std::min(m_repetitions, mostDoublings))) {
+    if (!isWaiting) {
+        m_waitingSince = now;
+    } else if (now - m_waitingSince >= confirmationLate * (1 << std::min(m_repetitions, mostDoublings))) {
         m_nextToSend = m_firstPending;
         m_oldestUnsent = {};
+        m_waitingSince = now;
         ++m_repetitions;
     }
     const auto window = m_repetitions > 1 ? mostEntriesPerMessage : mostUnconfirmed;
@@ -44,12 +47,11 @@
         due.push_back({receiver, m_epoch, m_nextToSend, {first, first + static_cast<std::ptrdiff_t>(count)}});
         m_nextToSend += count;
         m_highestSent = std::max(m_highestSent, m_nextToSend - 1);
-        m_lastSent = now;
     }
     return due;
 }
 
-void EntryStreamSender::confirm(std::uint32_t epoch, std::uint64_t upTo)
+void EntryStreamSender::confirm(std::uint32_t epoch, std::uint64_t upTo, SteadyTime now)
 {
     if (epoch != m_epoch || upTo < m_firstPending || upTo > m_highestSent) {
         return;
@@ -58,6 +60,7 @@
     m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(confirmed));
     m_firstPending = upTo + 1;
     m_nextToSend = std::max(m_nextToSend, m_firstPending);
+    m_waitingSince = now;
     m_repetitions = 0;
 }
 
--- a/modules/sapphirespan_fleet/streams/EntryStream.h
+++ b/modules/sapphirespan_fleet/streams/EntryStream.h
@@ -26,7 +26,7 @@
     std::vector<EntryCopy> takeDue(Incarnation receiver, SteadyTime now, Milliseconds batchTime);
 
     /** Takes in a confirmation; one of another epoch is ignored. */
-    void confirm(std::uint32_t epoch, std::uint64_t upTo);
+    void confirm(std::uint32_t epoch, std::uint64_t upTo, SteadyTime now);
 
     /** @returns whether everything appended was confirmed. */
     bool isConfirmed() const
@@ -52,7 +52,7 @@
     std::uint64_t m_firstPending = 1; ///< number of the first entry of m_pending
     std::uint64_t m_nextToSend = 1;
     std::uint64_t m_highestSent = 0;
-    SteadyTime m_lastSent {};
+    SteadyTime m_waitingSince {}; ///< when the first unconfirmed entry was sent, or confirmation last made progress
     SteadyTime m_oldestUnsent {}; ///< when the first entry that was not sent was appended
     int m_repetitions = 0; ///< since the latest confirmation
 };
--- a/modules/sapphirespan_fleet/tests/FleetTest.cpp
+++ b/modules/sapphirespan_fleet/tests/FleetTest.cpp
@@ -183,10 +183,28 @@
         now += 2s;
         sender.takeDue(1, now, 0ms);
     }
-    sender.confirm(1, 500); // of what was sent first, late
+    sender.confirm(1, 500, now); // of what was sent first, late
     BOOST_TEST(sender.isConfirmed());
 }
 
+BOOST_AUTO_TEST_CASE(aLostMessageIsRepeatedWhileNewEntriesKeepComing)
+{
+    EntryStreamSender sender;
+    EntryStreamReceiver receiver;
+    SteadyTime now {1s};
+    std::uint64_t confirmed = 0;
+    for (std::uint64_t key = 1; key <= 100; ++key, now += 10ms) {
+        sender.append({EntryChange::placed, key, 1, 1, 0}, now);
+        for (const auto &copy : sender.takeDue(1, now, 0ms)) {
+            if (key > 1) { // the first message is lost
+                confirmed = receiver.receive(copy.epoch, copy.firstNumber, copy.entries.size());
+                sender.confirm(copy.epoch, confirmed, now);
+            }
+        }
+    }
+    BOOST_TEST(confirmed == 100U);
+}
+
 BOOST_AUTO_TEST_CASE(entriesWaitForEachOther)
 {
     EntryStreamSender sender;
@@ -219,7 +237,7 @@
             }
             const auto confirmed = receiver.receive(copy.epoch, copy.firstNumber, copy.entries.size());
             if (random() % 3 != 0) {
-                sender.confirm(copy.epoch, confirmed);
+                sender.confirm(copy.epoch, confirmed, now);
             }
         }
     }
--- a/standins/experiment/FleetModel.cpp
+++ b/standins/experiment/FleetModel.cpp
@@ -22,6 +22,7 @@
 constexpr Milliseconds synRetransmission = 1s;
 constexpr Milliseconds drainNewsLimit = 3s;
 constexpr Microseconds fetchTime = 20ms;
+constexpr Microseconds slowJoin = 8s;
 constexpr std::uint64_t mostBrokenNoted = 3;
 constexpr std::size_t longestBacklog = 4096; ///< datagrams that a frozen process's socket keeps
 
@@ -53,6 +54,7 @@
     bool isSeenByFabric = false;
     bool isFetching = false;
     std::optional<Microseconds> joiningSince; ///< until it is admitted
+    bool isSlowJoinNoted = false;
 };
 
 /** One server. */
@@ -64,6 +66,7 @@
     bool wasAlwaysOpen = true; ///< since the counts began
     std::optional<Microseconds> openSince; ///< it counts towards imbalance once its slow start is over
     std::optional<Microseconds> drainingSince;
+    std::optional<Microseconds> drainNewsAt; ///< when the first instance learned of it
     bool isAlive = true;
     bool isShedding = false;
 };
@@ -191,6 +194,7 @@
 void FleetModel::drainUpstream(std::size_t service, std::size_t upstream)
 {
     m_services[service]->upstreams[upstream]->drainingSince = m_events.clock().elapsed();
+    m_services[service]->upstreams[upstream]->drainNewsAt.reset();
     teachBaselines(service, m_settings.longestSkew);
 }
 
@@ -292,6 +296,7 @@
     note("start " + node.settings.name);
     ++node.life;
     node.joiningSince = m_events.clock().elapsed();
+    node.isSlowJoinNoted = false;
     node.isRunning = true;
     node.isLeaving = false;
     node.isFrozen = false;
@@ -433,6 +438,7 @@
         node.joiningSince.reset();
         note("admitted " + node.settings.name + " after " + std::to_string(took) + " ms");
     }
+    noteSlowJoin(node);
     if (node.instance->isReady() != node.isSeenByFabric) {
         m_events.after(m_settings.fabricLag, [&node, life] {
             if (node.life == life) {
@@ -449,6 +455,21 @@
     m_events.after(tickPeriod, [this, number, life] { tickNode(number, life); });
 }
 
+void FleetModel::noteSlowJoin(Node &node)
+{
+    const auto now = m_events.clock().elapsed();
+    if (!node.joiningSince || node.isSlowJoinNoted || now - *node.joiningSince < slowJoin) {
+        return;
+    }
+    node.isSlowJoinNoted = true;
+    const auto status = node.instance->status();
+    note("slow to join: " + node.settings.name + " generation " + std::to_string(status.generation));
+    for (const auto &member : status.members) {
+        note("  " + member.name + " " + member.phase + (member.isReachable ? "" : " silent") + (member.isReadyForUs ? " ready" : " not ready")
+             + (member.hasSameRegisters ? "" : " other registers") + " generation " + std::to_string(member.generation));
+    }
+}
+
 void FleetModel::fetchFromPeer(Node &node)
 {
     if (node.isFetching || !node.instance->wantedGeneration()) {
@@ -473,10 +494,13 @@
     handleBatch(node, [&] {
         for (std::size_t service = 0; service < m_services.size(); ++service) {
             for (std::size_t ordinal = 0; ordinal < m_services[service]->upstreams.size(); ++ordinal) {
-                const auto &upstream = *m_services[service]->upstreams[ordinal];
+                auto &upstream = *m_services[service]->upstreams[ordinal];
                 ProbeOutcome outcome;
                 outcome.isAnswered = upstream.isAlive;
                 const bool isDrainingNews = upstream.drainingSince && now - *upstream.drainingSince >= node.newsLag;
+                if (isDrainingNews) {
+                    upstream.drainNewsAt = upstream.drainNewsAt.value_or(now);
+                }
                 outcome.claimed = isDrainingNews ? UpstreamPhase::draining
                     : upstream.isShedding        ? UpstreamPhase::shedding
                                                  : UpstreamPhase::open;
@@ -709,7 +733,7 @@
         flow.upstream = ordinal;
         flow.openedAt = m_events.clock().elapsed();
         upstream.flows.insert(number);
-        const auto firstNews = upstream.drainingSince.value_or(Microseconds::max() / 2);
+        const auto firstNews = upstream.drainingSince ? upstream.drainNewsAt.value_or(Microseconds::max() / 2) : Microseconds::max() / 2;
         if (m_events.clock().elapsed() - firstNews > Microseconds(drainNewsLimit)) {
             ++m_counts.lateToDraining;
             note("flow " + std::to_string(number) + " opened late on draining upstream " + std::to_string(ordinal) + " of service "
--- a/standins/experiment/FleetModel.h
+++ b/standins/experiment/FleetModel.h
@@ -83,6 +83,7 @@
     void tickNode(std::size_t number, std::uint64_t life);
     void probeFrom(std::size_t number, std::uint64_t life);
     void fetchFromPeer(Node &node);
+    void noteSlowJoin(Node &node);
     void deliverToNode(std::size_t number, bool isFromFabric, const Endpoint &from, std::vector<std::uint8_t> bytes);
     void handleBatch(Node &node, const std::function<void()> &input);
     void decideByBaseline(Node &node, std::span<const std::uint8_t> packet);
