--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -186,7 +186,8 @@
     }
     const auto since = state.now - state.phaseSince;
     const bool isQuiet = state.now - state.lastPacket > timing.quiet;
-    return (isQuiet && since > heartbeatsBeforeLeaving * timing.heartbeat) || since > timing.leaveLimit;
+    const bool isDone = isQuiet && since > heartbeatsBeforeLeaving * timing.heartbeat && areAllCopiesConfirmed(state);
+    return isDone || since > timing.leaveLimit;
 }
 
 bool EntryInstance::isAmongFirst(std::size_t count, std::uint64_t subject) const
