Ask whoever may own a bucket about flows that this owner does not know

Change: before deciding on an unknown flow, an owner passes it once to the instance that others may already rank above it.

--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -263,12 +263,15 @@
     forward(state, service, byDefault, arrival);
 }
 
-/** A ranked instance may be asked to place; one that is leaving knows its old flows, but places no new ones for others. */
+/** An admitted instance may be asked to place; one that is leaving knows its old flows, but places no new ones for others. */
 bool mayBeAsked(const EntryState &state, InstanceId id, const Arrival &arrival)
 {
     const auto member = state.members.find(id);
-    const bool isLeaving = member != state.members.end() && member->second.isReachable && member->second.phase == MemberPhase::leaving;
-    return state.ranking.contains(id) || (isLeaving && !arrival.view.isSyn);
+    if (id == arrival.relayedBy || member == state.members.end() || !member->second.isReachable) {
+        return false;
+    }
+    const auto phase = member->second.phase;
+    return phase == MemberPhase::admitted || (phase == MemberPhase::leaving && !arrival.view.isSyn);
 }
 
 /** Who may know of a flow that this owner does not know: the successor to whom it is handing over, or the owner before
@@ -286,7 +289,11 @@
     const auto previous = state.previousOwner[arrival.bucket];
     const int heartbeats = arrival.view.isSyn ? placingHeartbeats : askingHeartbeats;
     const bool isRecent = state.now - state.ownedSince[arrival.bucket] < heartbeats * state.settings.timing.heartbeat;
-    return isRecent && previous != arrival.relayedBy && mayBeAsked(state, previous, arrival) ? previous : noInstance;
+    if (isRecent && mayBeAsked(state, previous, arrival)) {
+        return previous;
+    }
+    const auto next = state.copyRanking.holders(arrival.bucket).owner; // others may take it for the owner already
+    return next != state.self.id && mayBeAsked(state, next, arrival) ? next : noInstance;
 }
 
 /** Decides with the authority of the bucket's owner. */
--- a/standins/experiment/FleetModel.cpp
+++ b/standins/experiment/FleetModel.cpp
@@ -291,6 +291,18 @@
     startNode(node);
 }
 
+void FleetModel::restartAllStopped()
+{
+    for (std::size_t number = 0; number < m_nodes.size(); ++number) {
+        restart(number);
+    }
+    for (const auto &service : m_services) {
+        for (const auto &upstream : service->upstreams) {
+            upstream->isAlive = true;
+        }
+    }
+}
+
 void FleetModel::startNode(Node &node)
 {
     note("start " + node.settings.name);
--- a/standins/experiment/FleetModel.h
+++ b/standins/experiment/FleetModel.h
@@ -41,6 +41,9 @@
     /** Starts a stopped instance again, with nothing remembered. */
     void restart(std::size_t instance);
 
+    /** Starts every stopped instance and every dead upstream again. */
+    void restartAllStopped();
+
     /** Failures. */
     void kill(std::size_t instance);
     void freeze(std::size_t instance, Milliseconds length);
--- a/standins/experiment/Scenarios.cpp
+++ b/standins/experiment/Scenarios.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds downTime = 2s;
 constexpr Milliseconds cutLength = 60s;
 constexpr Milliseconds freezeLength = 10s;
+constexpr std::size_t stepsBetweenRepairs = 2;
 constexpr std::size_t leavingInstance = 1;
 constexpr std::uint32_t changedWeight = 3;
 constexpr std::uint32_t loweredShare = 20;
@@ -144,6 +145,10 @@
     std::mt19937_64 random(settings.seed);
     std::map<std::size_t, std::size_t> drained; ///< service to upstream; one at a time of each
     for (std::size_t step = 0; step < steps; ++step) {
+        if (step % stepsBetweenRepairs == 0) {
+            model.restartAllStopped();
+            model.runFor(betweenRestarts);
+        }
         const auto last = withFailures ? Change::count : Change::ownerKilled;
         const auto change = static_cast<Change>(random() % static_cast<std::size_t>(last));
         const auto service = random() % settings.services.size();
