Bound what cuts, pauses and double deaths break

Causes, from traces of single failures: (1) an owner went on placing flows off the default for the whole lease after a cut began; (2) an instance that woke replayed opening packets from its socket, and the owner placed a connection that its caller had long opened elsewhere; (3) after owner and backup died, the third in rank decided before the remaining holder's copies reached it. Change: no placement off an open default while a heartbeat is overdue by half; opening packets are dropped for one heartbeat after a lapse (counted as stale); an owner that held no copies asks a holder that lives.

--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -142,6 +142,7 @@
     beginBatch();
     auto &state = *m_state;
     expireMembers(state);
+    noteOverdueMembers(state);
     advanceAdmission(state);
     advanceLeaving(state);
     expireEntries(state);
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -101,6 +101,8 @@
     SteadyTime lastSlowTick {};
     bool isHeartbeatDue = false;
     bool areRankingsStale = true;
+    std::optional<SteadyTime> lapsedAt; ///< when it last woke from a pause beyond its lease
+    bool isMemberOverdue = false; ///< an admitted member's heartbeat is overdue
     bool isPartitionSuspected = false; ///< all instances of some data centre fell silent without leaving
     std::uint64_t heartbeatsSent = 0;
     std::uint64_t nextMessageNumber = 1;
--- a/modules/sapphirespan_entry/systems/MembershipSystem.cpp
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.cpp
@@ -61,6 +61,16 @@
     return lost.card.dataCentre != state.settings.dataCentre && std::none_of(state.members.begin(), state.members.end(), isHeardThere);
 }
 
+/** The owner before if it lives; else, when this instance held no copies, another holder that lives. */
+InstanceId whoHeldBefore(const EntryState &state, const BucketHolders &before)
+{
+    if (before.owner == state.self.id || state.ranking.contains(before.owner) || before.contains(state.self.id)) {
+        return before.owner;
+    }
+    const auto holder = std::find_if(before.all.begin(), before.all.end(), [&state](InstanceId id) { return state.ranking.contains(id); });
+    return holder != before.all.end() ? *holder : noInstance;
+}
+
 /** Notes which buckets this instance came to own; entries of those were copies, whose idle time starts anew. */
 void takeOwnership(EntryState &state, const Ranking &before)
 {
@@ -72,7 +82,7 @@
             isNew[bucket] = 1;
             isAny = true;
             state.ownedSince[bucket] = state.now;
-            state.previousOwner[bucket] = before.holders(bucket).owner;
+            state.previousOwner[bucket] = whoHeldBefore(state, before.holders(bucket));
         }
         if (!isOwner && before.holders(bucket).owner == state.self.id) {
             state.ownedUntil[bucket] = state.now;
@@ -316,6 +326,7 @@
     const auto wall = static_cast<Incarnation>(state.clock.wallNow().time_since_epoch().count());
     state.self.incarnation = std::max(state.self.incarnation + 1, wall);
     state.nextMessageNumber = 1;
+    state.lapsedAt = state.now;
     state.isHandingOver = false;
     state.flows.forEach([](FlowEntry &entry) { entry.isStale = true; });
     for (auto &[id, member] : state.members) {
@@ -399,6 +410,15 @@
     refreshAcknowledgements(state);
 }
 
+void noteOverdueMembers(EntryState &state)
+{
+    const auto limit = state.settings.timing.heartbeat * 3 / 2;
+    state.isMemberOverdue = std::any_of(state.members.begin(), state.members.end(), [&](const auto &pair) {
+        const auto &member = pair.second;
+        return member.isReachable && member.phase == MemberPhase::admitted && state.now - member.lastHeard > limit;
+    });
+}
+
 void sendDueHeartbeats(EntryState &state)
 {
     const auto since = state.now - state.lastHeartbeat;
--- a/modules/sapphirespan_entry/systems/MembershipSystem.h
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.h
@@ -15,6 +15,9 @@
 /** Notes members that fell silent, and forgets those silent for long. */
 void expireMembers(EntryState &state);
 
+/** Notes whether a heartbeat is overdue: a member may be cut off, well before its lease tells. */
+void noteOverdueMembers(EntryState &state);
+
 /** Notes members that became synced, and admits this instance once it may be. */
 void advanceAdmission(EntryState &state);
 
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -388,6 +388,10 @@
         return;
     }
     arrival.view = *view;
+    if (view->isSyn && state.lapsedAt && state.now - *state.lapsedAt < state.settings.timing.heartbeat) {
+        drop(state, DropReason::stale);
+        return;
+    }
     if (!state.catalogue) {
         relayTo(state, anyAdmitted(state, arrival.relayedBy), arrival);
         return;
--- a/modules/sapphirespan_entry/systems/SteeringSystem.cpp
+++ b/modules/sapphirespan_entry/systems/SteeringSystem.cpp
@@ -98,7 +98,7 @@
     }
     const auto byDefault = service.content->defaults()[bucket];
     const bool isDefaultOpen = byDefault != noUpstream && takesNewFlows(service.upstreams[byDefault]);
-    if (state.isPartitionSuspected && isDefaultOpen) {
+    if ((state.isPartitionSuspected || state.isMemberOverdue) && isDefaultOpen) {
         return false; // the other side of a cut could not know of a flow placed elsewhere
     }
     switch (steeringReason(service, bucket)) {
--- a/modules/sapphirespan_flow/packets/PacketView.h
+++ b/modules/sapphirespan_flow/packets/PacketView.h
@@ -23,6 +23,7 @@
     noPeer, ///< must be relayed, and no instance is known that could take it
     noUpstream, ///< nothing may take the new flow, and a refusal would not be provably true
     replayed, ///< an old relayed packet or peer message
+    stale, ///< an opening packet that may have waited while this instance was paused; its caller repeats it
     leaving, ///< arrived after the instance handed over and no successor is known
     count
 };
@@ -31,7 +32,7 @@
 struct NameTable<DropReason> {
     static constexpr std::array<std::string_view, enumCount<DropReason>> names {
         "malformed",       "truncated",      "fragment", "unsupported_protocol", "unknown_service", "hop_limit",
-        "unauthenticated", "foreign_sender", "no_peer",  "no_upstream",          "replayed",        "leaving",
+        "unauthenticated", "foreign_sender", "no_peer",  "no_upstream",          "replayed", "stale", "leaving",
     };
 };
 
