--- a/modules/sapphirespan_config/service/ServiceFile.cpp
+++ b/modules/sapphirespan_config/service/ServiceFile.cpp
@@ -30,7 +30,7 @@
     std::uint32_t tolerancePermille;
 };
 
-constexpr std::array<FavourDefaults, enumCount<Favour>> favourDefaults {{{100, 50}, {500, 10}}};
+constexpr std::array<FavourDefaults, enumCount<Favour>> favourDefaults {{{250, 50}, {1000, 20}}};
 
 std::string checkedName(YamlReader &reader, const YAML::Node &map, const char *key)
 {
--- a/modules/sapphirespan_config/service/ServiceFile.h
+++ b/modules/sapphirespan_config/service/ServiceFile.h
@@ -29,7 +29,7 @@
 
 /** How traffic reaches the upstreams of a service. */
 struct TrafficPolicy {
-    std::uint32_t steeredPermille = 100; ///< share of buckets whose owner may even out load
+    std::uint32_t steeredPermille = 250; ///< share of buckets whose owner may even out load
     std::uint32_t tolerancePermille = 50; ///< load above the mean up to which the default upstream is kept
     Milliseconds idleTimeout {std::chrono::hours(4)}; ///< silence after which a flow is over
     Milliseconds drainLimit {std::chrono::hours(4)}; ///< longest time for which a leaving upstream keeps its flows
--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -139,8 +139,10 @@
 
 void EntryInstance::tick()
 {
-    beginBatch();
     auto &state = *m_state;
+    beginBatch();
+    const double seconds = static_cast<double>((state.now - std::exchange(state.lastTick, state.now)).count()) / 1e6;
+    state.evenPlacements = std::min(mostSavedEvenPlacements, state.evenPlacements + seconds * evenPlacementsPerSecond);
     expireMembers(state);
     noteOverdueMembers(state);
     advanceAdmission(state);
--- a/modules/sapphirespan_entry/state/EntryState.cpp
+++ b/modules/sapphirespan_entry/state/EntryState.cpp
@@ -27,6 +27,7 @@
     now = clock.steadyNow();
     self = {instanceIdOf(settings.name), static_cast<Incarnation>(clock.wallNow().time_since_epoch().count())};
     phaseSince = now;
+    lastTick = now;
     lastHeartbeat = now;
     for (const auto &seed : settings.seeds) {
         knownPeers.insert(seed);
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -73,6 +73,12 @@
     std::set<UpstreamName> dependents;
 };
 
+/** Placements off an open default that one instance makes a second at the service's own tolerance; each costs copies. */
+inline constexpr double evenPlacementsPerSecond = 12;
+
+/** Such placements saved up at most. */
+inline constexpr double mostSavedEvenPlacements = 60;
+
 /** Finds services by address. */
 struct ServiceAddressHash {
     std::size_t operator()(const ServiceAddress &address) const;
@@ -98,6 +104,7 @@
     SteadyTime phaseSince {};
     SteadyTime lastHeartbeat {};
     SteadyTime lastPacket {};
+    SteadyTime lastTick {};
     SteadyTime lastSlowTick {};
     bool isHeartbeatDue = false;
     bool areRankingsStale = true;
@@ -127,6 +134,8 @@
     std::uint64_t lowestGeneration = 0; ///< of all instances that may forward; see refreshAcknowledgements()
     SteadyTime lowestRegistersEqualAt {};
 
+    double evenPlacements = mostSavedEvenPlacements; ///< placements off an open default that the control budget still allows
+
     FlowTable flows;
     std::mt19937_64 random;
 
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -9,6 +9,9 @@
 
 using Bytes = std::span<const std::uint8_t>;
 
+/** Tolerance once the budget of copies is spent: a service with many flows is even without fine corrections. */
+constexpr double toleranceWithoutBudget = 0.045;
+
 /** Heartbeats after taking a bucket over during which the owner before it still places new flows: until everybody
     relays to the new owner. */
 constexpr int placingHeartbeats = 3;
@@ -173,7 +176,8 @@
 /** Chooses freely among the upstreams of a service. @returns nothing when none takes new flows */
 std::optional<UpstreamOrdinal> place(EntryState &state, ServiceRow &service, std::size_t bucket)
 {
-    const double tolerance = service.content->service.traffic.tolerancePermille / 1000.0;
+    const double own = service.content->service.traffic.tolerancePermille / 1000.0;
+    const double tolerance = state.evenPlacements >= 1 ? own : std::max(own, toleranceWithoutBudget);
     return chooseUpstream(currentCandidates(state, service), service.content->targets()[bucket], tolerance, state.random());
 }
 
@@ -243,6 +247,9 @@
         return;
     }
     ++service.accounts.placedElsewhere;
+    if (byDefault != noUpstream && takesNewFlows(service.upstreams[byDefault])) {
+        state.evenPlacements = std::max(0.0, state.evenPlacements - 1);
+    }
     countLoad(service, *chosen, arrival.view);
     forward(state, service, *chosen, arrival);
 }
