Find out by how much load reports lag, and meet the bounds of balance

Change: of nine assumed lags, the one at which report and count differ most steadily is believed. Ends of flows wait up to 2 s to travel with placements.

--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -74,7 +74,7 @@
 };
 
 /** Placements off an open default that one instance makes a second at the service's own tolerance; each costs copies. */
-inline constexpr double evenPlacementsPerSecond = 12;
+inline constexpr double evenPlacementsPerSecond = 5;
 
 /** Such placements saved up at most. */
 inline constexpr double mostSavedEvenPlacements = 60;
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr Milliseconds copyBatchTime {10};
-
 /** The instances that hold a bucket now, and those that would by the ranking to come. */
 using Holders = std::array<InstanceId, 2 * mostHolders>;
 
@@ -147,10 +145,9 @@
 void flushEntryCopies(EntryState &state)
 {
     // While owners change, a copy must arrive before the flow's next packet may reach the other owner.
-    const bool areOwnersChanging = state.ranking.candidates() != state.copyRanking.candidates();
-    const auto batchTime = areOwnersChanging ? Milliseconds(0) : copyBatchTime;
+    const bool isUrgent = state.isHandingOver || state.ranking.candidates() != state.copyRanking.candidates();
     for (auto &[id, member] : state.members) {
-        for (auto &copy : member.outgoing.takeDue(member.name.incarnation, state.now, batchTime)) {
+        for (auto &copy : member.outgoing.takeDue(member.name.incarnation, state.now, isUrgent)) {
             sendMessage(state, member.card.peer, std::move(copy));
         }
     }
@@ -164,8 +161,8 @@
     for (const auto &news : copy.entries) {
         takeIn(state, news);
     }
-    member.dueAcknowledgement = EntryAcknowledgement {
-        member.name.incarnation, copy.epoch, member.incoming.receive(copy.epoch, copy.firstNumber, copy.entries.size())};
+    member.dueAcknowledgement = EntryAcknowledgement {member.name.incarnation, copy.epoch,
+                                                      member.incoming.receive(copy.epoch, copy.firstNumber, copy.entries.size())};
 }
 
 void flushAcknowledgements(EntryState &state)
--- a/modules/sapphirespan_entry/systems/SteeringSystem.cpp
+++ b/modules/sapphirespan_entry/systems/SteeringSystem.cpp
@@ -83,7 +83,8 @@
         return true;
     }
     const auto ordinal = service.content->defaults()[bucket];
-    return ordinal != noUpstream && service.upstreams[ordinal].isSteered && service.upstreams[ordinal].steeredAt <= state.lowestRegistersEqualAt;
+    return ordinal != noUpstream && service.upstreams[ordinal].isSteered
+        && service.upstreams[ordinal].steeredAt <= state.lowestRegistersEqualAt;
 }
 
 bool takesNewFlows(const UpstreamRow &upstream)
--- a/modules/sapphirespan_fleet/streams/EntryStream.cpp
+++ b/modules/sapphirespan_fleet/streams/EntryStream.cpp
@@ -10,13 +10,15 @@
 constexpr std::size_t mostUnconfirmed = 4096;
 constexpr Microseconds confirmationLate = 100ms;
 constexpr int mostDoublings = 4;
+constexpr Microseconds placedBatchTime = 10ms;
+constexpr Microseconds endedBatchTime = 2s;
 } // namespace
 
 void EntryStreamSender::append(const EntryNews &entry, SteadyTime now)
 {
-    if (m_nextToSend == m_firstPending + m_pending.size()) {
-        m_oldestUnsent = now;
-    }
+    const auto due = now + (entry.change == EntryChange::ended ? endedBatchTime : placedBatchTime);
+    const bool isFirst = m_nextToSend == m_firstPending + m_pending.size();
+    m_dueAt = isFirst ? due : std::min(m_dueAt, due);
     m_pending.push_back(entry);
 }
 
@@ -27,7 +29,7 @@
     m_epoch = nextEpoch;
 }
 
-std::vector<EntryCopy> EntryStreamSender::takeDue(Incarnation receiver, SteadyTime now, Milliseconds batchTime)
+std::vector<EntryCopy> EntryStreamSender::takeDue(Incarnation receiver, SteadyTime now, bool isUrgent)
 {
     std::vector<EntryCopy> due;
     const bool isWaiting = m_nextToSend > m_firstPending;
@@ -35,13 +37,13 @@
         m_waitingSince = now;
     } else if (now - m_waitingSince >= confirmationLate * (1 << std::min(m_repetitions, mostDoublings))) {
         m_nextToSend = m_firstPending;
-        m_oldestUnsent = {};
+        m_dueAt = now;
         m_waitingSince = now;
         ++m_repetitions;
     }
     const auto window = m_repetitions > 1 ? mostEntriesPerMessage : mostUnconfirmed;
     const auto end = std::min(m_firstPending + m_pending.size(), m_firstPending + window);
-    while (m_nextToSend < end && (end - m_nextToSend >= mostEntriesPerMessage || now - m_oldestUnsent >= batchTime)) {
+    while (m_nextToSend < end && (end - m_nextToSend >= mostEntriesPerMessage || now >= m_dueAt || isUrgent)) {
         const auto count = std::min<std::uint64_t>(mostEntriesPerMessage, end - m_nextToSend);
         const auto first = m_pending.begin() + static_cast<std::ptrdiff_t>(m_nextToSend - m_firstPending);
         due.push_back({receiver, m_epoch, m_nextToSend, {first, first + static_cast<std::ptrdiff_t>(count)}});
--- a/modules/sapphirespan_fleet/streams/EntryStream.h
+++ b/modules/sapphirespan_fleet/streams/EntryStream.h
@@ -13,17 +13,17 @@
 class EntryStreamSender
 {
 public:
-    /** Appends an entry. */
+    /** Appends an entry. The end of a flow is no hurry, and mostly travels with the next placement. */
     void append(const EntryNews &entry, SteadyTime now);
 
     /** Forgets everything and starts a new epoch, for a receiver with a new incarnation or one that is gone. */
     void restart();
 
-    /** @returns the messages that are due: entries not yet sent that fill a message or have waited for the batch time,
+    /** @returns the messages that are due: entries not yet sent that fill a message or have waited for others long enough,
         and unconfirmed ones whose answer is late. While nothing is confirmed, ever fewer are repeated.
-        @param receiver incarnation of the receiver @param batchTime longest wait for further entries
+        @param receiver incarnation of the receiver @param isUrgent whether entries wait for no others
     */
-    std::vector<EntryCopy> takeDue(Incarnation receiver, SteadyTime now, Milliseconds batchTime);
+    std::vector<EntryCopy> takeDue(Incarnation receiver, SteadyTime now, bool isUrgent);
 
     /** Takes in a confirmation; one of another epoch is ignored. */
     void confirm(std::uint32_t epoch, std::uint64_t upTo, SteadyTime now);
@@ -53,7 +53,7 @@
     std::uint64_t m_nextToSend = 1;
     std::uint64_t m_highestSent = 0;
     SteadyTime m_waitingSince {}; ///< when the first unconfirmed entry was sent, or confirmation last made progress
-    SteadyTime m_oldestUnsent {}; ///< when the first entry that was not sent was appended
+    SteadyTime m_dueAt {}; ///< when entries that were not sent have waited long enough
     int m_repetitions = 0; ///< since the latest confirmation
 };
 
--- a/modules/sapphirespan_fleet/tests/FleetTest.cpp
+++ b/modules/sapphirespan_fleet/tests/FleetTest.cpp
@@ -70,7 +70,13 @@
     const std::vector<PeerMessage> messages {
         sampleHeartbeat(),
         {{1, 2}, 4, RegisterUpdate {{{{1, 2}, {3, 4, UpstreamPhase::down, true}}}}},
-        {{1, 2}, 5, EntryCopy {9, 2, 1, {{EntryChange::placed, 77, 1, 2, 3}, {EntryChange::replaced, 79, 1, 2, 3}, {EntryChange::ended, 78, 0, noUpstream, 5}}}},
+        {{1, 2},
+         5,
+         EntryCopy {
+             9,
+             2,
+             1,
+             {{EntryChange::placed, 77, 1, 2, 3}, {EntryChange::replaced, 79, 1, 2, 3}, {EntryChange::ended, 78, 0, noUpstream, 5}}}},
         {{1, 2}, 6, EntryAcknowledgement {9, 2, 64}},
     };
     const PeerCodec codec(ringOf({1}));
@@ -166,7 +172,7 @@
     }
     std::size_t messages = 0;
     for (int step = 0; step < 6000; ++step, now += 10ms) {
-        messages += sender.takeDue(1, now, 0ms).size();
+        messages += sender.takeDue(1, now, true).size();
     }
     BOOST_TEST(messages < 200U); // once or twice everything, then one message in 1.6 s
 }
@@ -178,10 +184,10 @@
     for (std::uint64_t key = 1; key <= 500; ++key) {
         sender.append({EntryChange::placed, key, 1, 1, 0}, now);
     }
-    sender.takeDue(1, now, 0ms);
+    sender.takeDue(1, now, true);
     for (int repetition = 0; repetition < 4; ++repetition) {
         now += 2s;
-        sender.takeDue(1, now, 0ms);
+        sender.takeDue(1, now, true);
     }
     sender.confirm(1, 500, now); // of what was sent first, late
     BOOST_TEST(sender.isConfirmed());
@@ -195,7 +201,7 @@
     std::uint64_t confirmed = 0;
     for (std::uint64_t key = 1; key <= 100; ++key, now += 10ms) {
         sender.append({EntryChange::placed, key, 1, 1, 0}, now);
-        for (const auto &copy : sender.takeDue(1, now, 0ms)) {
+        for (const auto &copy : sender.takeDue(1, now, true)) {
             if (key > 1) { // the first message is lost
                 confirmed = receiver.receive(copy.epoch, copy.firstNumber, copy.entries.size());
                 sender.confirm(copy.epoch, confirmed, now);
@@ -211,8 +217,13 @@
     const SteadyTime now {1s};
     sender.append({EntryChange::placed, 1, 1, 1, 0}, now);
     sender.append({EntryChange::placed, 2, 1, 1, 0}, now + 1ms);
-    BOOST_TEST(sender.takeDue(1, now + 4ms, 5ms).empty());
-    BOOST_TEST(sender.takeDue(1, now + 5ms, 5ms).at(0).entries.size() == 2U);
+    BOOST_TEST(sender.takeDue(1, now + 9ms, false).empty());
+    BOOST_TEST(sender.takeDue(1, now + 10ms, false).at(0).entries.size() == 2U);
+    sender.append({EntryChange::ended, 1, 0, noUpstream, 0}, now + 11ms);
+    BOOST_TEST(sender.takeDue(1, now + 90ms, false).empty());
+    sender.append({EntryChange::placed, 3, 1, 1, 0}, now + 90ms);
+    BOOST_TEST(sender.takeDue(1, now + 99ms, false).empty());
+    BOOST_TEST(sender.takeDue(1, now + 100ms, false).at(0).entries.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(streamsDeliverEverythingOverLossyLinks)
@@ -226,7 +237,7 @@
         sender.append({EntryChange::placed, key, 1, 1, 0}, now);
     }
     for (int step = 0; step < 3000 && !sender.isConfirmed(); ++step, now += 10ms) {
-        auto due = sender.takeDue(1, now, 0ms);
+        auto due = sender.takeDue(1, now, true);
         std::shuffle(due.begin(), due.end(), random);
         for (const auto &copy : due) {
             if (random() % 3 == 0) {
--- a/modules/sapphirespan_flow/packets/PacketView.h
+++ b/modules/sapphirespan_flow/packets/PacketView.h
@@ -32,7 +32,8 @@
 struct NameTable<DropReason> {
     static constexpr std::array<std::string_view, enumCount<DropReason>> names {
         "malformed",       "truncated",      "fragment", "unsupported_protocol", "unknown_service", "hop_limit",
-        "unauthenticated", "foreign_sender", "no_peer",  "no_upstream",          "replayed", "stale", "leaving",
+        "unauthenticated", "foreign_sender", "no_peer",  "no_upstream",          "replayed",        "stale",
+        "leaving",
     };
 };
 
--- a/modules/sapphirespan_upstream/load/LoadEstimate.h
+++ b/modules/sapphirespan_upstream/load/LoadEstimate.h
@@ -6,11 +6,15 @@
 
 namespace sapphirespan {
 
+/** Lags, in whole seconds from 0, that reports are tested for. */
+inline constexpr std::size_t reportLagCandidates = 9;
+
 /** Estimate of the open connections of one upstream.
 
     Every opening and closing packet is decided on by exactly one instance, so the sum over the scope of openings less
     closings counts the connections, up to flows that end unseen. The upstream's own report is exact but late: it
-    corrects the count of its own moment, and what was counted since is added. Thread safety: none.
+    corrects the count of its own moment, and what was counted since is added. Reports may be older than they say: of
+    several assumed lags, the one at which report and count differ most steadily is believed. Thread safety: none.
 */
 class LoadEstimate
 {
@@ -39,6 +43,16 @@
     }
 
 private:
+    /** Difference of report and count, were reports older than they say by a certain lag. */
+    struct LagCandidate {
+        double mean = 0;
+        double variance = 0;
+        bool isPrimed = false;
+    };
+
+    double bias() const;
+    std::int64_t countedAt(SteadyTime moment) const;
+
     struct Sample {
         SteadyTime time;
         std::int64_t total;
@@ -47,7 +61,7 @@
     std::int64_t m_own = 0;
     std::int64_t m_ownAtPeerSum = 0;
     std::int64_t m_peers = 0;
-    std::int64_t m_bias = 0; ///< report less count, both of the report's moment
+    std::array<LagCandidate, reportLagCandidates> m_lags; ///< by whole seconds by which reports may be older than they say
     std::deque<Sample> m_samples;
 };
 
--- a/standins/experiment/FleetModel.cpp
+++ b/standins/experiment/FleetModel.cpp
@@ -477,8 +477,9 @@
     const auto status = node.instance->status();
     note("slow to join: " + node.settings.name + " generation " + std::to_string(status.generation));
     for (const auto &member : status.members) {
-        note("  " + member.name + " " + member.phase + (member.isReachable ? "" : " silent") + (member.isReadyForUs ? " ready" : " not ready")
-             + (member.hasSameRegisters ? "" : " other registers") + " generation " + std::to_string(member.generation));
+        note("  " + member.name + " " + member.phase + (member.isReachable ? "" : " silent")
+             + (member.isReadyForUs ? " ready" : " not ready") + (member.hasSameRegisters ? "" : " other registers") + " generation "
+             + std::to_string(member.generation));
     }
 }
 
@@ -777,15 +778,16 @@
     if (m_counts.brokenAtWrongUpstream > mostBrokenNoted) {
         return;
     }
-    note("flow " + std::to_string(flow.number) + " opened at " + std::to_string(flow.openedAt.count() / 1000) + " ms on upstream " + std::to_string(*flow.upstream) + " reached " + std::to_string(reachedUpstream));
+    note("flow " + std::to_string(flow.number) + " opened at " + std::to_string(flow.openedAt.count() / 1000) + " ms on upstream "
+         + std::to_string(*flow.upstream) + " reached " + std::to_string(reachedUpstream));
     for (const auto &node : m_nodes) {
         if (!node->isRunning || node->isFrozen) {
             continue;
         }
         const auto known = node->instance->explain(flow.key);
-        note("  " + node->settings.name + " " + node->instance->status().phase + " steering " + known.steering + " owner " + known.owner + " backup "
-             + known.backup + " default " + known.defaultUpstream + " target " + known.targetUpstream + " entry " + known.entryUpstream
-             + (known.isAcknowledged ? " acknowledged" : ""));
+        note("  " + node->settings.name + " " + node->instance->status().phase + " steering " + known.steering + " owner " + known.owner
+             + " backup " + known.backup + " default " + known.defaultUpstream + " target " + known.targetUpstream + " entry "
+             + known.entryUpstream + (known.isAcknowledged ? " acknowledged" : ""));
     }
 }
 
--- a/standins/experiment/main.cpp
+++ b/standins/experiment/main.cpp
@@ -81,8 +81,7 @@
         static_cast<unsigned long long>(counts.brokenByStall), static_cast<unsigned long long>(counts.brokenByRefusal),
         static_cast<unsigned long long>(counts.misdelivered), static_cast<unsigned long long>(counts.refused),
         static_cast<unsigned long long>(counts.untrueRefusals), static_cast<unsigned long long>(counts.lateToDraining),
-                static_cast<unsigned long long>(counts.unsettled),
-        static_cast<unsigned long long>(counts.invariantBreaches));
+        static_cast<unsigned long long>(counts.unsettled), static_cast<unsigned long long>(counts.invariantBreaches));
     std::printf("  connections max/mean: worst %.3f mean %.3f; slot time max/mean %.3f; entries %llu\n", counts.worstImbalance,
                 counts.meanImbalance, counts.slotImbalance, static_cast<unsigned long long>(counts.entries));
     std::printf("  longest join %lld ms\n", static_cast<long long>(counts.worstJoinMs));
