--- a/apps/sapphirespan/Commands.h
+++ b/apps/sapphirespan/Commands.h
@@ -25,6 +25,8 @@
     std::string resume; ///< publish id
     Milliseconds wait {0};
     std::string protocol = "tcp";
+    std::string html; ///< file that the report's page is written to
+    Milliseconds every {1000}; ///< between two samples of a report
     std::vector<std::string> arguments; ///< after the command's name
 };
 
@@ -33,6 +35,7 @@
 ExitCode runStatus(const CommandOptions &options);
 ExitCode runVerify(const CommandOptions &options);
 ExitCode runExplain(const CommandOptions &options);
+ExitCode runReport(const CommandOptions &options);
 
 /** Prints findings as text to standard error, or as JSON to standard output. */
 void printFindings(const FindingList &findings, bool isJson);
--- a/apps/sapphirespan/main.cpp
+++ b/apps/sapphirespan/main.cpp
@@ -1,5 +1,5 @@
 /** @file
-    sapphirespan: the operators' program: check, publish, status, verify, explain and version.
+    sapphirespan: the operators' program: check, publish, status, verify, explain, report and version.
 */
 #include "Commands.h"
 
@@ -12,6 +12,8 @@
 DEFINE_string(format, "text", "text or json");
 DEFINE_string(resume, "", "publish id of a publication whose outcome is unknown");
 DEFINE_string(wait, "0s", "longest time to wait until a generation is in force everywhere");
+DEFINE_string(html, "", "file that the report's page is written to");
+DEFINE_string(every, "1s", "time between two samples of a report");
 DEFINE_string(protocol, "tcp", "tcp or udp");
 
 namespace {
@@ -26,8 +28,9 @@
                                   "  status                        who has the newest generation in force\n"
                                   "  verify                        recompute digests and compare instances\n"
                                   "  explain CALLER SERVICE        where a flow goes, and why\n"
+                                  "  report                        service-level burn, sampled for --wait\n"
                                   "  version                       print the version\n"
-                                  "options: --platform --instance --format --resume --wait --protocol\n";
+                                  "options: --platform --instance --format --resume --wait --protocol --html --every\n";
 
 ExitCode runVersion(const CommandOptions & /*options*/)
 {
@@ -40,12 +43,13 @@
     ExitCode (*run)(const CommandOptions &options);
 };
 
-constexpr std::array<Command, 6> commands {{
+constexpr std::array<Command, 7> commands {{
     {"check", sapphirespan::runCheck},
     {"publish", sapphirespan::runPublish},
     {"status", sapphirespan::runStatus},
     {"verify", sapphirespan::runVerify},
     {"explain", sapphirespan::runExplain},
+    {"report", sapphirespan::runReport},
     {"version", runVersion},
 }};
 
@@ -58,13 +62,17 @@
     options.isJson = FLAGS_format == "json";
     options.resume = FLAGS_resume;
     options.protocol = FLAGS_protocol;
+    options.html = FLAGS_html;
+    const auto every = sapphirespan::parseDuration(FLAGS_every);
     const auto wait = sapphirespan::parseDuration(FLAGS_wait);
     const bool isFormatKnown = options.isJson || FLAGS_format == "text";
     const bool areEndpointsRead = (FLAGS_platform.empty() || options.platform) && (FLAGS_instance.empty() || options.instance);
-    if (!wait || !isFormatKnown || !areEndpointsRead || (FLAGS_protocol != "tcp" && FLAGS_protocol != "udp")) {
+    if (!every || every->count() == 0 || !wait || !isFormatKnown || !areEndpointsRead
+        || (FLAGS_protocol != "tcp" && FLAGS_protocol != "udp")) {
         return std::nullopt;
     }
     options.wait = *wait;
+    options.every = *every;
     options.arguments.assign(argv + 2, argv + argc);
     return options;
 }
--- a/apps/sapphirespand/ControlService.cpp
+++ b/apps/sapphirespand/ControlService.cpp
@@ -133,6 +133,8 @@
         const auto value = static_cast<PeerTraffic>(kind);
         appendMetric(text, "peer_bytes_total", label("kind", nameOf(value)), m_sources.instance.traffic(value).bytes);
     }
+    text << m_sources.batchDurations.prometheusText("batch_duration_seconds",
+                                                    "Time from receiving a batch of datagrams to having sent its outputs.");
     return text.str();
 }
 
--- a/apps/sapphirespand/ControlService.h
+++ b/apps/sapphirespand/ControlService.h
@@ -13,6 +13,7 @@
     const EntryInstance &instance;
     const InvariantLog &invariants;
     const ObjectTexts &texts; ///< objects of the generation in force, for peers
+    const DurationHistogram &batchDurations; ///< time that batches of packets took
 };
 
 /** Answers the control endpoint of an instance: readiness, metrics, catalogue objects for peers, JSON-RPC for operators.
--- a/apps/sapphirespand/Daemon.cpp
+++ b/apps/sapphirespand/Daemon.cpp
@@ -62,7 +62,7 @@
                    m_instance.endBatch();
                    sendOutputs();
                })
-    , m_control(m_connector, {m_instance, m_invariants, m_texts})
+    , m_control(m_connector, {m_instance, m_invariants, m_texts, m_batchDurations})
 {
 }
 
@@ -91,10 +91,14 @@
     m_invariants.signalBreach.connect([this](Invariant invariant, const std::string &detail) {
         m_log.error("invariant_broken", fields({{"invariant", std::string(nameOf(invariant))}, {"detail", detail}}));
     });
-    const auto begin = [this] { m_instance.beginBatch(); };
+    const auto begin = [this] {
+        m_batchStart = m_clock.steadyNow();
+        m_instance.beginBatch();
+    };
     const auto end = [this] {
         m_instance.endBatch();
         sendOutputs();
+        m_batchDurations.record(m_clock.steadyNow() - m_batchStart);
     };
     m_ingress->start(
         m_loop, begin, [this](const Endpoint &, std::span<const std::uint8_t> packet) { m_instance.packetArrived(packet); }, end);
--- a/apps/sapphirespand/Daemon.h
+++ b/apps/sapphirespand/Daemon.h
@@ -37,6 +37,8 @@
     EventLoop m_loop;
     EntryInstance m_instance;
     ObjectTexts m_texts;
+    DurationHistogram m_batchDurations;
+    SteadyTime m_batchStart {};
     CatalogueFetcher m_fetcher;
     std::optional<HeadWatcher> m_watcher;
     std::optional<SummaryWriter> m_summary;
--- a/modules/sapphirespan_entry/systems/CatalogueSystem.cpp
+++ b/modules/sapphirespan_entry/systems/CatalogueSystem.cpp
@@ -74,7 +74,7 @@
     std::optional<GenerationNews> news;
     auto highest = state.head.generation;
     for (const auto &[id, member] : state.members) {
-        if (member.isReachable && member.generation > highest && member.card.control.port != 0) {
+        if (member.isReachable && member.generation > highest && !member.indexDigest.empty() && member.card.control.port != 0) {
             highest = member.generation;
             news = GenerationNews {{member.generation, member.indexDigest}, member.card.control};
         }
--- a/modules/sapphirespan_entry/systems/MembershipSystem.cpp
+++ b/modules/sapphirespan_entry/systems/MembershipSystem.cpp
@@ -152,6 +152,9 @@
             }
             const bool isReady = member.isReachable && member.outgoing.confirmedNumber() >= member.syncMark;
             mine.readyForYou = isReady ? member.name.incarnation : 0;
+            if (member.generation >= state.head.generation) {
+                mine.indexDigest.clear(); // it needs the digest only to fetch a generation that it lacks
+            }
             if (!member.isSynced && !mine.card) {
                 addCard(state, mine);
             }
@@ -227,7 +230,7 @@
     notePhase(state, member, beat.phase);
     member.isReadyForUs = beat.readyForYou == state.self.incarnation;
     member.generation = beat.generation;
-    member.indexDigest = beat.indexDigest;
+    member.indexDigest = beat.indexDigest.empty() && beat.generation == state.head.generation ? state.head.indexDigest : beat.indexDigest;
     member.registersDigest = beat.registersDigest;
     takeInUpstreamNews(state, member, beat);
     refreshAcknowledgements(state);
--- a/modules/sapphirespan_fleet/messages/PeerMessages.h
+++ b/modules/sapphirespan_fleet/messages/PeerMessages.h
@@ -55,7 +55,7 @@
 struct Heartbeat {
     MemberPhase phase = MemberPhase::joining;
     std::uint64_t generation = 0;
-    std::string indexDigest; ///< of the generation in force
+    std::string indexDigest; ///< of the generation in force; empty for a receiver that is known to have it
     std::uint64_t registersDigest = 0;
     Incarnation readyForYou = 0; ///< the receiver's incarnation, once it confirmed all entries the sender has for it
     std::vector<OpinionNews> opinions; ///< every opinion other than open
--- a/modules/sapphirespan_fleet/tests/FleetTest.cpp
+++ b/modules/sapphirespan_fleet/tests/FleetTest.cpp
@@ -44,6 +44,7 @@
 std::vector<RankedInstance> rankedOf(const std::set<std::uint32_t> &ids)
 {
     std::vector<RankedInstance> ranked;
+    ranked.reserve(ids.size());
     for (const auto id : ids) {
         ranked.push_back({id, "dc-" + std::to_string(id % 3)});
     }
--- a/modules/sapphirespan_flow/buckets/BucketTable.cpp
+++ b/modules/sapphirespan_flow/buckets/BucketTable.cpp
@@ -43,6 +43,9 @@
     };
     const auto totalWeight = std::accumulate(upstreams.begin(), upstreams.end(), std::uint64_t {0},
                                              [](std::uint64_t sum, const WeightedUpstream &upstream) { return sum + upstream.weight; });
+    if (totalWeight == 0) {
+        return;
+    }
     std::vector<Remainder> remainders;
     std::size_t given = 0;
     for (const auto &[ordinal, weight] : upstreams) {
--- a/modules/sapphirespan_report/sapphirespan_report.h
+++ b/modules/sapphirespan_report/sapphirespan_report.h
@@ -7,4 +7,6 @@
 #pragma once
 
 #include "sapphirespan_report/accounts/DecisionAccounts.h"
+#include "sapphirespan_report/burn/BurnReport.h"
 #include "sapphirespan_report/logs/JsonLog.h"
+#include "sapphirespan_report/metrics/DurationHistogram.h"
--- a/modules/sapphirespan_report/tests/ReportTest.cpp
+++ b/modules/sapphirespan_report/tests/ReportTest.cpp
@@ -15,3 +15,50 @@
     ++accounts.dropped[static_cast<std::size_t>(DropReason::hopLimit)];
     BOOST_TEST(accounts.addUp());
 }
+
+namespace {
+BurnSample sampleOf(const std::string &instance, int second, std::uint64_t good, std::uint64_t bad)
+{
+    return {"desk", instance, WallTime(std::chrono::seconds(second)), good, bad};
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(burnComparesBadEventsWithTheBudget)
+{
+    using namespace std::chrono_literals;
+    const auto burn
+        = computeBurn("desk", 0.99, 60s, 3600s, {sampleOf("a", 0, 0, 0), sampleOf("a", 1000, 9900, 100), sampleOf("a", 1010, 9998, 102)});
+    BOOST_TEST(burn.longWindow.good == 9998U);
+    BOOST_TEST(burn.longWindow.bad == 102U);
+    BOOST_TEST(burn.shortWindow.bad == 2U);
+    BOOST_TEST(burn.shortWindow.burnRate == 2.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST((burn.shortWindow.covered == 10s));
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedInstanceCountsOn)
+{
+    using namespace std::chrono_literals;
+    const auto burn
+        = computeBurn("desk", 0.9, 60s, 3600s, {sampleOf("a", 0, 100, 10), sampleOf("a", 10, 110, 10), sampleOf("a", 20, 5, 1)});
+    BOOST_TEST(burn.longWindow.good == 15U);
+    BOOST_TEST(burn.longWindow.bad == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothingSeenIsNotShownAsGood)
+{
+    using namespace std::chrono_literals;
+    const auto burn = computeBurn("desk", 0.9, 60s, 3600s, {sampleOf("a", 0, 100, 10)});
+    BOOST_TEST((burn.longWindow.covered == 0s));
+    BOOST_TEST(burnPage({burn}, {"instance <b> not heard"}).find("&lt;b>") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(histogramsAreCumulative)
+{
+    DurationHistogram histogram;
+    histogram.record(Microseconds(5));
+    histogram.record(Microseconds(50));
+    histogram.record(std::chrono::minutes(1));
+    const auto text = histogram.prometheusText("x_seconds", "help");
+    BOOST_TEST(text.find("_bucket{le=\"+Inf\"} 3") != std::string::npos);
+    BOOST_TEST(text.find("x_seconds_count 3") != std::string::npos);
+}
