Let any number of changes follow each other, and move defaults on

Cause: a service took at most 16 changes of its upstreams before publishing was refused, and its defaults never moved. A content now carries defaults, targets and one set of held buckets; a publication after the idle time and drain limit moves the defaults; in transition, flows on the default are known to every holder. Ruled out: a list of all tables (it grew without end, and only says which buckets differ). NetTest took a port that was free for UDP only and failed once beside 90 instances; servers now bind port 0 and tell their endpoint.

--- a/modules/sapphirespan_config/catalogue/CatalogueJson.cpp
+++ b/modules/sapphirespan_config/catalogue/CatalogueJson.cpp
@@ -47,6 +47,15 @@
     return toHex(bytes);
 }
 
+std::string setText(const BucketSet &set)
+{
+    std::vector<std::uint8_t> bytes(bucketCount / 8);
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        bytes[bucket / 8] |= static_cast<std::uint8_t>((set[bucket] ? 1U : 0U) << (bucket % 8));
+    }
+    return toHex(bytes);
+}
+
 /** Raised inside this file only, when a value is missing or of the wrong kind. */
 struct BadValue {
     std::string text;
@@ -115,6 +124,19 @@
     return table;
 }
 
+BucketSet setFrom(const Json::Value &value)
+{
+    std::vector<std::uint8_t> bytes(bucketCount / 8);
+    if (!value.isString() || !fromHex(value.asString(), bytes)) {
+        throw BadValue {"a set of buckets is malformed"};
+    }
+    BucketSet set(bucketCount);
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        set[bucket] = ((bytes[bucket / 8] >> (bucket % 8)) & 1) != 0;
+    }
+    return set;
+}
+
 Json::Value addressValue(const ServiceAddress &address)
 {
     Json::Value value;
@@ -182,11 +204,8 @@
 
 void checkOrdinals(const ServiceContent &content)
 {
-    if (content.tables.empty()) {
-        throw BadValue {"no bucket table"};
-    }
-    for (const auto &table : content.tables) {
-        for (const auto ordinal : table) {
+    for (const auto *table : {&content.defaults, &content.targets}) {
+        for (const auto ordinal : *table) {
             if (ordinal != noUpstream && ordinal >= content.upstreams.size()) {
                 throw BadValue {"a bucket names an upstream that is not listed"};
             }
@@ -208,9 +227,9 @@
     for (const auto &upstream : listAt(value, "upstreams")) {
         content.upstreams.push_back(upstreamFrom(upstream));
     }
-    for (const auto &table : listAt(value, "tables")) {
-        content.tables.push_back(tableFrom(table));
-    }
+    content.defaults = tableFrom(member(value, "defaults"));
+    content.targets = tableFrom(member(value, "targets"));
+    content.held = setFrom(member(value, "held"));
     content.service.traffic = trafficFrom(member(value, "traffic"));
     const auto &objective = member(value, "objective");
     content.service.objective.level = member(objective, "level").asDouble();
@@ -282,10 +301,9 @@
     for (const auto &upstream : content.upstreams) {
         value["upstreams"].append(upstreamValue(upstream));
     }
-    value["tables"] = Json::arrayValue;
-    for (const auto &table : content.tables) {
-        value["tables"].append(tableText(table));
-    }
+    value["defaults"] = tableText(content.defaults);
+    value["targets"] = tableText(content.targets);
+    value["held"] = setText(content.held);
     value["traffic"] = trafficValue(content.service.traffic);
     value["objective"]["level"] = content.service.objective.level;
     value["objective"]["windowMs"] = Json::UInt64(content.service.objective.window.count());
--- a/modules/sapphirespan_config/catalogue/ServiceContent.cpp
+++ b/modules/sapphirespan_config/catalogue/ServiceContent.cpp
@@ -46,6 +46,20 @@
     return weights;
 }
 
+/** Whether all flows of the defaults' time have ended or were seen by owners, who remember what they see. */
+bool mayMoveDefaults(const ServiceContent &content, WallTime now)
+{
+    const auto &traffic = content.service.traffic;
+    return now - content.changedAt > std::max(traffic.idleTimeout, traffic.drainLimit);
+}
+
+void holdMovedBuckets(ServiceContent &content)
+{
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        content.held[bucket] = content.held[bucket] || content.defaults[bucket] != content.targets[bucket];
+    }
+}
+
 } // namespace
 
 std::optional<ServiceContent> contentAfterPublish(const ServiceFile &file, const ServiceContent *previous, ServiceNumber number,
@@ -58,48 +72,32 @@
         reason.set("service " + file.name + " has used up its upstream ordinals");
         return std::nullopt;
     }
+    content.held.resize(bucketCount);
+    if (previous != nullptr) {
+        holdMovedBuckets(content);
+        if (mayMoveDefaults(*previous, now)) {
+            content.defaults = content.targets;
+        }
+    }
     content.service = file;
     content.service.upstreams.clear();
     content.heldSteeredPermille = std::max(content.heldSteeredPermille, file.traffic.steeredPermille);
     content.number = number;
     content.changedAtGeneration = generation;
-    auto table = assignBuckets(weightsOf(content.upstreams), previous != nullptr ? previous->targets() : BucketTable {});
-    if (content.tables.empty() || table != content.targets()) {
-        content.tables.push_back(std::move(table));
-        content.changedAt = now;
+    auto table = assignBuckets(weightsOf(content.upstreams), content.targets);
+    if (previous == nullptr) {
+        content.defaults = table;
     }
-    if (content.tables.size() > mostTables) {
-        reason.set("service " + file.name + " has " + std::to_string(mostTables) + " changes whose older flows may still live");
-        return std::nullopt;
+    if (table != content.targets) {
+        content.targets = std::move(table);
+        content.changedAt = now;
     }
     return content;
 }
 
-bool mayConfirmTransition(const ServiceContent &content, WallTime now)
-{
-    const auto &traffic = content.service.traffic;
-    return content.tables.size() > 1 && now - content.changedAt > std::max(traffic.idleTimeout, traffic.drainLimit);
-}
-
-ServiceContent contentAfterConfirm(const ServiceContent &content, std::uint64_t generation, WallTime now)
-{
-    auto confirmed = content;
-    confirmed.changedAtGeneration = generation;
-    confirmed.changedAt = now;
-    if (content.defaults() != content.targets()) {
-        std::rotate(confirmed.tables.begin(), confirmed.tables.end() - 1, confirmed.tables.end());
-        confirmed.tables.push_back(confirmed.tables.front());
-    } else {
-        confirmed.tables.resize(1);
-        confirmed.heldSteeredPermille = content.service.traffic.steeredPermille;
-    }
-    return confirmed;
-}
-
 bool isInTransition(const ServiceContent &content, std::size_t bucket)
 {
-    return std::any_of(content.tables.begin() + 1, content.tables.end(),
-                       [&](const BucketTable &table) { return table[bucket] != content.defaults()[bucket]; });
+    return content.held[bucket] || content.defaults[bucket] != content.targets[bucket];
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_entry/instance/EntryInstance.cpp
+++ b/modules/sapphirespan_entry/instance/EntryInstance.cpp
@@ -270,8 +270,8 @@
     explanation.isAcknowledged = isSteeringAcknowledged(state, service, bucket);
     explanation.owner = instanceText(state, holders.owner);
     explanation.backup = instanceText(state, holders.backup);
-    explanation.defaultUpstream = tunnelText(service, service.content->defaults()[bucket]);
-    explanation.targetUpstream = tunnelText(service, service.content->targets()[bucket]);
+    explanation.defaultUpstream = tunnelText(service, service.content->defaults[bucket]);
+    explanation.targetUpstream = tunnelText(service, service.content->targets[bucket]);
     explanation.entryUpstream = entry != nullptr ? tunnelText(service, entry->upstream) : "";
     explanation.isDecidedHere = service.isSteered[bucket] == 0 || holders.owner == state.self.id;
     return explanation;
--- a/modules/sapphirespan_entry/systems/CatalogueSystem.cpp
+++ b/modules/sapphirespan_entry/systems/CatalogueSystem.cpp
@@ -52,7 +52,7 @@
         if (auto old = state.services.find(content->number); old != state.services.end()) {
             row = std::move(old->second);
         }
-        const bool hasSameDefaults = row.content && row.content->defaults() == content->defaults();
+        const bool hasSameDefaults = row.content && row.content->defaults == content->defaults;
         row.defaultsGeneration = hasSameDefaults ? row.defaultsGeneration : content->changedAtGeneration;
         row.content = content;
         refreshUpstreams(state, row, isFirstCatalogue);
--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -107,6 +107,10 @@
     if (view.isQuoted) {
         return;
     }
+    if (entry.isLocal && isInTransition(*service.content, bucketOf(entry.key))) {
+        entry.isLocal = false;
+        copyEntry(state, entry, EntryChange::placed);
+    }
     auto &opinion = service.upstreams[entry.upstream].opinion;
     if (view.isSyn && !entry.isEstablished) {
         ++service.accounts.repeatedOpenings;
@@ -178,7 +182,7 @@
 {
     const double own = service.content->service.traffic.tolerancePermille / 1000.0;
     const double tolerance = state.evenPlacements >= 1 ? own : std::max(own, toleranceWithoutBudget);
-    return chooseUpstream(currentCandidates(state, service), service.content->targets()[bucket], tolerance, state.random());
+    return chooseUpstream(currentCandidates(state, service), service.content->targets[bucket], tolerance, state.random());
 }
 
 /** A refusal is true only where this instance has seen every packet of the bucket for as long as an opening repeats. */
@@ -207,7 +211,10 @@
 
 void placeOnDefault(EntryState &state, ServiceRow &service, UpstreamOrdinal ordinal, const Arrival &arrival)
 {
-    rememberLocally(state, service, ordinal, arrival);
+    // In transition the default will move on, so that even flows on it must be known to every holder.
+    if (!isInTransition(*service.content, arrival.bucket) || !rememberEverywhere(state, service, ordinal, arrival)) {
+        rememberLocally(state, service, ordinal, arrival);
+    }
     ++service.accounts.placedOnDefault;
     countLoad(service, ordinal, arrival.view);
     forward(state, service, ordinal, arrival);
@@ -217,7 +224,7 @@
 {
     state.invariants.check(state.flows.find(arrival.key) == nullptr, Invariant::flowPlacedOnce,
                            [&] { return service.content->service.name; });
-    const auto byDefault = service.content->defaults()[arrival.bucket];
+    const auto byDefault = service.content->defaults[arrival.bucket];
     if (!mayPlaceElsewhere(state, service, arrival.bucket)) {
         if (byDefault == noUpstream) {
             refuseOrDrop(state, service, arrival);
@@ -257,7 +264,7 @@
 /** A flow that the owner does not know is on the default upstream, whoever placed it. */
 void continueOnDefault(EntryState &state, ServiceRow &service, const Arrival &arrival)
 {
-    const auto byDefault = service.content->defaults()[arrival.bucket];
+    const auto byDefault = service.content->defaults[arrival.bucket];
     if (byDefault == noUpstream) {
         drop(state, DropReason::noUpstream);
         return;
@@ -330,7 +337,7 @@
 
 void decideDirect(EntryState &state, ServiceRow &service, const Arrival &arrival)
 {
-    const auto byDefault = service.content->defaults()[arrival.bucket];
+    const auto byDefault = service.content->defaults[arrival.bucket];
     if (byDefault == noUpstream) {
         drop(state, DropReason::noUpstream);
         return;
--- a/modules/sapphirespan_entry/systems/SteeringSystem.cpp
+++ b/modules/sapphirespan_entry/systems/SteeringSystem.cpp
@@ -33,7 +33,7 @@
     if (isInTransition(content, bucket)) {
         return SteeringReason::transition;
     }
-    const auto ordinal = content.defaults()[bucket];
+    const auto ordinal = content.defaults[bucket];
     if (ordinal != noUpstream) {
         const auto &upstream = service.upstreams[ordinal];
         if (upstream.isSteered || !takesNewFlows(upstream)) {
@@ -82,7 +82,7 @@
     if (generation != 0 && generation <= state.lowestGeneration) {
         return true;
     }
-    const auto ordinal = service.content->defaults()[bucket];
+    const auto ordinal = service.content->defaults[bucket];
     return ordinal != noUpstream && service.upstreams[ordinal].isSteered
         && service.upstreams[ordinal].steeredAt <= state.lowestRegistersEqualAt;
 }
@@ -97,7 +97,7 @@
     if (!isSteeringAcknowledged(state, service, bucket)) {
         return false;
     }
-    const auto byDefault = service.content->defaults()[bucket];
+    const auto byDefault = service.content->defaults[bucket];
     const bool isDefaultOpen = byDefault != noUpstream && takesNewFlows(service.upstreams[byDefault]);
     if ((state.isPartitionSuspected || state.isMemberOverdue) && isDefaultOpen) {
         return false; // the other side of a cut could not know of a flow placed elsewhere
--- a/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
+++ b/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
@@ -306,7 +306,7 @@
         if (service == state.services.end() || entry.isLocal) {
             return;
         }
-        const auto byDefault = service->second.content->defaults()[bucketOf(entry.key)];
+        const auto byDefault = service->second.content->defaults[bucketOf(entry.key)];
         if (byDefault != noUpstream && byDefault != entry.upstream) {
             service->second.upstreams[byDefault].hasDependents = true;
         }
--- a/modules/sapphirespan_net/http/HttpServer.cpp
+++ b/modules/sapphirespan_net/http/HttpServer.cpp
@@ -4,6 +4,9 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 
@@ -61,6 +64,15 @@
     }
 }
 
+std::uint16_t portOf(evhttp_bound_socket *bound)
+{
+    sockaddr_storage address {};
+    socklen_t length = sizeof address;
+    ::getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.ss_family == AF_INET ? reinterpret_cast<sockaddr_in *>(&address)->sin_port
+                                              : reinterpret_cast<sockaddr_in6 *>(&address)->sin6_port);
+}
+
 /** Forgets the request of an exchange once its connection is gone. */
 void onRequestFreed(evhttp_request * /*request*/, void *context)
 {
@@ -120,16 +132,18 @@
     evhttp_set_max_body_size(server, largestBodyBytes);
     evhttp_set_timeout(server, idleSeconds);
     evhttp_set_allowed_methods(server, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE);
-    if (evhttp_bind_socket(server, endpoint.address.toText().c_str(), endpoint.port) != 0) {
+    auto *bound = evhttp_bind_socket_with_handle(server, endpoint.address.toText().c_str(), endpoint.port);
+    if (bound == nullptr) {
         reason.set("cannot listen on TCP " + endpoint.toText());
         evhttp_free(server);
         return nullptr;
     }
-    return std::unique_ptr<HttpServer>(new HttpServer(server, std::move(handler)));
+    return std::unique_ptr<HttpServer>(new HttpServer(server, {endpoint.address, portOf(bound)}, std::move(handler)));
 }
 
-HttpServer::HttpServer(evhttp *server, Handler handler)
+HttpServer::HttpServer(evhttp *server, const Endpoint &local, Handler handler)
     : m_server(server)
+    , m_local(local)
     , m_handler(std::move(handler))
 {
     evhttp_set_gencb(m_server, handle, this);
--- a/modules/sapphirespan_net/http/HttpServer.h
+++ b/modules/sapphirespan_net/http/HttpServer.h
@@ -64,18 +64,25 @@
 public:
     using Handler = std::function<void(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)>;
 
-    /** Listens. @returns nothing, with the reason, when the endpoint cannot be bound */
+    /** Listens; port 0 takes a free one. @returns nothing, with the reason, when the endpoint cannot be bound */
     static std::unique_ptr<HttpServer> listen(EventLoop &loop, const Endpoint &endpoint, Handler handler, LastReason &reason);
 
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /** @returns the endpoint that the server listens on. */
+    const Endpoint &localEndpoint() const
+    {
+        return m_local;
+    }
+
 private:
-    HttpServer(evhttp *server, Handler handler);
+    HttpServer(evhttp *server, const Endpoint &local, Handler handler);
     static void handle(evhttp_request *request, void *context);
 
     evhttp *m_server;
+    Endpoint m_local;
     Handler m_handler;
 };
 
