Keep control within 4 KB/s at two thousand new flows a second an instance

Cause: at that load the estimate of others' placements in the last second is noisy (own counts times nine), so 4.5% beyond the budget still placed off the default 5 times a second and more. Change: 6% once the budget is spent; ends of flows wait up to 10 s. Test: BalanceTest/controlStaysWithinItsBoundAtTwoThousandNew... failed at 4336 before and passes after.

--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -10,7 +10,7 @@
 using Bytes = std::span<const std::uint8_t>;
 
 /** Tolerance once the budget of copies is spent: a service with many flows is even without fine corrections. */
-constexpr double toleranceWithoutBudget = 0.045;
+constexpr double toleranceWithoutBudget = 0.06;
 
 /** Heartbeats after taking a bucket over during which the owner before it still places new flows: until everybody
     relays to the new owner. */
--- a/modules/sapphirespan_fleet/streams/EntryStream.cpp
+++ b/modules/sapphirespan_fleet/streams/EntryStream.cpp
@@ -11,7 +11,7 @@
 constexpr Microseconds confirmationLate = 100ms;
 constexpr int mostDoublings = 4;
 constexpr Microseconds placedBatchTime = 10ms;
-constexpr Microseconds endedBatchTime = 2s;
+constexpr Microseconds endedBatchTime = 10s;
 } // namespace
 
 void EntryStreamSender::append(const EntryNews &entry, SteadyTime now)
--- a/standins/experiment/tests/BalanceTest.cpp
+++ b/standins/experiment/tests/BalanceTest.cpp
@@ -51,3 +51,18 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(controlStaysWithinItsBoundAtTwoThousandNewFlowsAnInstance)
+{
+    auto settings = *deploymentSettings("hinoki");
+    settings.seed = 1;
+    settings.instances = 9;
+    settings.warmUp = 33s;
+    for (auto &service : settings.services) {
+        service.newPerSecond = 9000; // two services over nine instances
+    }
+    const auto counts = runThroughChanges(settings, {Change::none}, 8s);
+    BOOST_TEST(counts.broken() == 0U);
+    BOOST_TEST(counts.worstImbalance <= evennessBound);
+    BOOST_TEST(counts.controlBytesPerSecond <= controlBound);
+}
