--- a/apps/sapphirespand/Daemon.cpp
+++ b/apps/sapphirespand/Daemon.cpp
@@ -35,8 +35,7 @@
 /** Events that operators should look at. */
 bool isWarning(InstanceEventKind kind)
 {
-    return kind == InstanceEventKind::instanceLapsed || kind == InstanceEventKind::memberLost || kind == InstanceEventKind::upstreamPanic
-        || kind == InstanceEventKind::flowPlacedTwice || kind == InstanceEventKind::flowTableFull;
+    return kind == InstanceEventKind::instanceLapsed || kind == InstanceEventKind::memberLost || kind == InstanceEventKind::upstreamPanic;
 }
 
 Json::Value fields(std::initializer_list<std::pair<const char *, std::string>> members)
--- a/modules/sapphirespan_entry/instance/InstanceEvent.h
+++ b/modules/sapphirespan_entry/instance/InstanceEvent.h
@@ -18,16 +18,14 @@
     memberLeaving,
     upstreamPhaseChanged,
     upstreamPanic,
-    flowPlacedTwice,
-    flowTableFull,
     count
 };
 
 template<>
 struct NameTable<InstanceEventKind> {
     static constexpr std::array<std::string_view, enumCount<InstanceEventKind>> names {
-        "generation_in_force", "instance_admitted", "instance_lapsed",        "instance_leaving", "member_appeared",   "member_admitted",
-        "member_lost",         "member_leaving",    "upstream_phase_changed", "upstream_panic",   "flow_placed_twice", "flow_table_full",
+        "generation_in_force", "instance_admitted", "instance_lapsed", "instance_leaving",       "member_appeared",
+        "member_admitted",     "member_lost",       "member_leaving",  "upstream_phase_changed", "upstream_panic",
     };
 };
 
--- a/modules/sapphirespan_entry/state/EntryState.h
+++ b/modules/sapphirespan_entry/state/EntryState.h
@@ -34,6 +34,7 @@
     HealthOpinion opinion;
     std::uint32_t slotsInUse = 0;
     std::optional<SteadyTime> lastReport;
+    std::optional<SteadyTime> panicAnnouncedAt;
 };
 
 /** One service in force. */
--- a/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
+++ b/modules/sapphirespan_entry/systems/EntryCopySystem.cpp
@@ -79,8 +79,6 @@
     const auto outcome = state.flows.merge(entryOf(state, news));
     if (outcome == MergeOutcome::keptMine || outcome == MergeOutcome::tookTheirs) {
         ++state.mergesWithTwoPlacements;
-        announce(state, InstanceEventKind::flowPlacedTwice, std::to_string(news.key),
-                 outcome == MergeOutcome::keptMine ? "kept this instance's placement" : "took the peer's placement");
     }
     if (outcome == MergeOutcome::tableFull) {
         ++state.entriesNotTaken;
--- a/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
+++ b/modules/sapphirespan_entry/systems/UpstreamSystem.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto soonestRegisterPush = 100ms;
 constexpr auto soonestReopening = 3s; // lets the probes of all instances see the same
+constexpr auto soonestPanicRepetition = 1min;
 constexpr std::size_t mostRegistersPerMessage = 48;
 
 UpstreamRow *findUpstream(EntryState &state, const UpstreamName &name)
@@ -126,6 +127,15 @@
     return (open - 1) * 2 < listed;
 }
 
+void announcePanic(EntryState &state, ServiceRow &service, UpstreamOrdinal ordinal)
+{
+    auto &announcedAt = service.upstreams[ordinal].panicAnnouncedAt;
+    if (!announcedAt || state.now - *announcedAt > soonestPanicRepetition) {
+        announcedAt = state.now;
+        announce(state, InstanceEventKind::upstreamPanic, upstreamText(service, ordinal), "kept open: too many would be closed");
+    }
+}
+
 bool isAnyDependent(const EntryState &state, const UpstreamName &name, const UpstreamRow &upstream)
 {
     const auto hasIt = [&name](const auto &pair) { return pair.second.isReachable && pair.second.dependents.contains(name); };
@@ -139,7 +149,7 @@
             continue;
         }
         if (phase == UpstreamPhase::down && wouldPanic(service)) {
-            announce(state, InstanceEventKind::upstreamPanic, upstreamText(service, name.upstream), "kept open: too many would be closed");
+            announcePanic(state, service, name.upstream);
             return;
         }
         write(state, name, phase, true);
