Take test ports below those of outgoing connections

Cause: measure.py in-force 30 failed twice ('not ready after 60 s'): an instance's port had been given to another process's outgoing connection between choosing and binding. Ruled out: joining (30 of 30 were ready in a run of the same binary). Change: ports from 12000 to 31999, tested for TCP and UDP; an instance that ended is reported with the end of its log.

--- a/standins/harness/stage.py
+++ b/standins/harness/stage.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,24 +14,27 @@
 import urllib.request
 
 HOST = "127.0.0.1"
+handed_out = set()
+
+
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+    return True
 
 
 def free_ports(count):
-    """Returns distinct ports that are free for TCP and UDP."""
-    held = []
+    """Returns distinct ports that are free for TCP and UDP, below those that the system gives to outgoing connections."""
     ports = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        tcp.bind((HOST, 0))
-        try:
-            udp.bind((HOST, tcp.getsockname()[1]))
-            ports.append(tcp.getsockname()[1])
-        except OSError:
-            pass
-    for item in held:
-        item.close()
+        port = random.randrange(12000, 32000)
+        if port not in handed_out and is_free(port):
+            handed_out.add(port)
+            ports.append(port)
     return ports
 
 
@@ -163,6 +167,9 @@
         deadline = time.monotonic() + seconds
         for instance in instances or self.instances:
             while not self.is_ready(instance):
+                if instance["process"].poll() is not None:
+                    with open(self.path(instance["name"] + ".log")) as log:
+                        raise RuntimeError(f"{instance['name']} ended: {log.read()[-300:]}")
                 if time.monotonic() > deadline:
                     raise RuntimeError(f"{instance['name']} is not ready after {seconds} s")
                 time.sleep(0.05)
