--- /dev/null
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -0,0 +1,299 @@
+#include "CookieDaemon.h"
+
+#include <csignal>
+#include <random>
+
+namespace sapphirespan {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Milliseconds tickPeriod = 50ms;
+
+/** Time between two looks at the settings file. */
+constexpr Milliseconds reloadPeriod = 2s;
+
+/** Time for a connection attempt to an upstream; a few times the longest round trip. */
+constexpr Milliseconds probeDeadline = 100ms;
+
+/** Time for a peer's snapshot. */
+constexpr Milliseconds snapshotDeadline = 500ms;
+
+/** Time for which a leaving instance goes on at least: the fabric notices after two missed checks half a second apart. */
+constexpr Milliseconds shortestLeave = 1300ms;
+
+/** Silence after which a leaving instance ends. */
+constexpr Milliseconds leaveQuiet = 300ms;
+
+/** Time by which a leaving instance ends before it is ended from outside. */
+constexpr Milliseconds leaveMargin = 1s;
+
+constexpr const char *snapshotPath = "/knowledge";
+
+CookieInstanceSettings decisionSettings(const CookieSettings &settings, const Clock &clock)
+{
+    CookieInstanceSettings result;
+    result.name = settings.name;
+    result.dataCentre = settings.dataCentre;
+    result.incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+    result.peer = settings.peer;
+    result.control = settings.control;
+    result.returnPort = settings.ingress.port;
+    result.seeds = settings.seeds;
+    result.flowLifetime = settings.flowLifetime;
+    result.randomSeed = std::random_device()();
+    return result;
+}
+
+Json::Value fields(std::initializer_list<std::pair<const char *, std::string>> members)
+{
+    Json::Value value(Json::objectValue);
+    for (const auto &[name, text] : members) {
+        value[name] = text;
+    }
+    return value;
+}
+
+ProbeResult resultOf(ConnectionOutcome outcome)
+{
+    switch (outcome) {
+    case ConnectionOutcome::connected:
+        return ProbeResult::connected;
+    case ConnectionOutcome::refused:
+        return ProbeResult::refused;
+    case ConnectionOutcome::silent:
+    case ConnectionOutcome::count:
+        break;
+    }
+    return ProbeResult::silent;
+}
+
+} // namespace
+
+CookieDaemon::CookieDaemon(const CookieSettings &settings, std::string settingsPath, const PacketFormat &format,
+                           const SourceMaker &makeSource)
+    : m_settings(settings)
+    , m_settingsPath(std::move(settingsPath))
+    , m_log(settings.name, settings.logLevel)
+    , m_instance(decisionSettings(settings, m_clock), format, m_clock)
+    , m_source(makeSource(m_loop, settings.platform))
+    , m_client(m_loop)
+    , m_prober(m_loop)
+{
+}
+
+bool CookieDaemon::start(LastReason &reason)
+{
+    m_ingress = UdpSocket::bind(m_settings.ingress, reason);
+    m_peer = m_ingress ? UdpSocket::bind(m_settings.peer, reason) : nullptr;
+    if (!m_peer) {
+        return false;
+    }
+    m_readiness = HttpServer::listen(
+        m_loop, m_settings.readiness,
+        [this](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->answer({m_instance.isReady() ? 200 : 503, "{}", "application/json", {}});
+        },
+        reason);
+    m_control = HttpServer::listen(
+        m_loop, m_settings.control,
+        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { exchange->answer(controlAnswer(request)); },
+        reason);
+    if (!m_readiness || !m_control) {
+        return false;
+    }
+    connectDecisions();
+    connectSource();
+    connectSignals();
+    return true;
+}
+
+void CookieDaemon::connectDecisions()
+{
+    m_instance.signalEvent().connect([this](const CookieEvent &event) { logEvent(event); });
+    m_ingress->start(
+        m_loop, [this] { m_instance.beginBatch(); },
+        [this](const Endpoint &, std::span<std::uint8_t> packet) { m_instance.packetArrived(packet); }, [this] { carryOut(); });
+    m_peer->start(
+        m_loop, [this] { m_instance.beginBatch(); },
+        [this](const Endpoint &, std::span<std::uint8_t> datagram) { m_instance.peerDatagramArrived(datagram); }, [this] { carryOut(); });
+    m_handles.push_back(m_loop.every(tickPeriod, [this] { tick(); }));
+}
+
+void CookieDaemon::connectSource()
+{
+    m_source->signalUpstreamsListed.connect([this](const UpstreamList &list) {
+        m_instance.beginBatch();
+        m_instance.upstreamsListed(list);
+    });
+    m_source->signalUpstreamsChanged.connect([this](const UpstreamChanges &changes) {
+        m_instance.beginBatch();
+        m_instance.upstreamsChanged(changes);
+    });
+    m_source->signalRoutes.connect([this](const RouteConfiguration &routes) {
+        m_instance.beginBatch();
+        m_instance.routesArrived(routes);
+    });
+    m_source->signalConfirmed.connect([this](KnowledgePart part) {
+        m_instance.beginBatch();
+        m_instance.storeConfirmed(part);
+        m_instance.tick();
+        carryOut();
+    });
+    m_source->signalFailed.connect([this](const std::string &reason) {
+        m_log.warning("store_call_failed", fields({{"reason", reason}}));
+        m_instance.beginBatch();
+        m_instance.storeFailed();
+    });
+    m_source->signalUnreadable.connect([this](const std::string &reason) {
+        m_log.warning("store_object_passed_over", fields({{"reason", reason}}));
+    });
+}
+
+void CookieDaemon::connectSignals()
+{
+    const auto leave = [this] {
+        m_leavingSince = m_leavingSince.value_or(m_clock.steadyNow());
+        m_instance.leaveRequested();
+    };
+    m_handles.push_back(m_loop.onSignal(SIGTERM, leave));
+    m_handles.push_back(m_loop.onSignal(SIGINT, leave));
+    m_handles.push_back(m_loop.onSignal(SIGHUP, [this] { reload(true); }));
+    m_handles.push_back(m_loop.every(reloadPeriod, [this] { reload(false); }));
+}
+
+int CookieDaemon::run()
+{
+    m_log.info("instance_started", fields({{"ingress", m_settings.ingress.toText()}, {"data_centre", m_settings.dataCentre}}));
+    tick();
+    m_loop.run();
+    m_log.info("instance_stopped");
+    return 0;
+}
+
+HttpResponse CookieDaemon::controlAnswer(const HttpRequest &request) const
+{
+    if (request.path == snapshotPath) {
+        const auto snapshot = m_instance.snapshot();
+        return snapshot ? HttpResponse {200, encode(*snapshot), "application/msgpack", {}} : HttpResponse {503, "", "text/plain", {}};
+    }
+    return {404, "", "text/plain", {}};
+}
+
+/** Sends what the decisions want sent, and starts what they want tried. */
+void CookieDaemon::carryOut()
+{
+    m_datagrams.clear();
+    m_reports.clear();
+    for (const auto &output : m_instance.outbox().outputs()) {
+        auto &datagrams = output.kind == CookieOutputKind::report ? m_reports : m_datagrams;
+        datagrams.push_back({output.to, output.headerBytes(), output.payload});
+    }
+    m_ingress->send(m_datagrams);
+    m_peer->send(m_reports);
+    m_instance.outbox().clear();
+    for (const auto &request : m_instance.takeProbeRequests()) {
+        m_prober.probe(request.address, probeDeadline, [this, cookie = request.cookie](ConnectionOutcome outcome) {
+            m_instance.beginBatch();
+            m_instance.probeEnded(cookie, resultOf(outcome));
+            carryOut();
+        });
+    }
+    for (const auto &request : m_instance.takeSnapshotRequests()) {
+        fetchSnapshot(request.control);
+    }
+    m_source->setActive(m_instance.wantsStore());
+}
+
+void CookieDaemon::fetchSnapshot(const Endpoint &control)
+{
+    if (m_isFetching) {
+        return;
+    }
+    m_isFetching = true;
+    m_client.send(control, HttpMethod::get, snapshotPath, {}, "", snapshotDeadline, [this, control](const HttpOutcome &outcome) {
+        m_isFetching = false;
+        if (!outcome.response || outcome.response->status != 200) {
+            m_log.info("snapshot_not_received", fields({{"from", control.toText()}}));
+            return;
+        }
+        const auto &body = outcome.response->body;
+        const auto snapshot = decodeSnapshot({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
+        if (!snapshot) {
+            m_log.warning("snapshot_unreadable", fields({{"from", control.toText()}}));
+            return;
+        }
+        m_instance.beginBatch();
+        m_instance.snapshotArrived(*snapshot);
+        m_instance.tick();
+        carryOut();
+    });
+}
+
+void CookieDaemon::tick()
+{
+    m_instance.tick();
+    carryOut();
+    checkLeaving();
+}
+
+/** A leaving instance forwards until the fabric sends it nothing more. */
+void CookieDaemon::checkLeaving()
+{
+    if (!m_leavingSince) {
+        return;
+    }
+    const auto since = m_clock.steadyNow() - *m_leavingSince;
+    const bool isQuiet = since > shortestLeave && m_instance.sinceLastPacket() > leaveQuiet;
+    if (isQuiet || since > m_settings.leaveLimit - leaveMargin) {
+        m_loop.stop();
+    }
+}
+
+/** Takes over what may change while the process runs; endpoints and names may not. */
+void CookieDaemon::reload(bool isAsked)
+{
+    FindingList findings;
+    const auto text = readTextFile(m_settingsPath, findings);
+    if (!text || (!isAsked && *text == m_settingsText)) {
+        return;
+    }
+    const bool isFirst = m_settingsText.empty() && !isAsked;
+    m_settingsText = *text;
+    if (isFirst) {
+        return;
+    }
+    const auto settings = parseCookieSettings(m_settingsPath, *text, findings);
+    for (const auto &finding : findings.sorted()) {
+        m_log.warning("settings_finding", fields({{"finding", toText(finding)}}));
+    }
+    if (!settings) {
+        return;
+    }
+    m_settings.seeds = settings->seeds;
+    m_settings.leaveLimit = settings->leaveLimit;
+    m_instance.setSeeds(settings->seeds);
+    m_log.setLevel(settings->logLevel);
+    m_log.info("settings_reloaded");
+}
+
+void CookieDaemon::logEvent(const CookieEvent &event)
+{
+    const bool isAboutFlow = event.flow.has_value();
+    if (isAboutFlow && m_log.level() != "debug") {
+        return;
+    }
+    Json::Value members(Json::objectValue);
+    if (event.flow) {
+        members["flow"] = toText(*event.flow);
+    }
+    if (const auto &rows = m_instance.state().upstreams.rows(); event.upstream != 0) {
+        const auto row = rows.find(event.upstream);
+        members["upstream"] = row != rows.end() ? upstreamText(row->second) : std::to_string(event.upstream);
+    }
+    members["detail"] = std::string(event.detail);
+    m_log.info(std::string(nameOf(event.kind)), members);
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "sapphirespan_config/sapphirespan_config.h"
+#include "sapphirespan_cookie/sapphirespan_cookie.h"
+#include "sapphirespan_net/sapphirespan_net.h"
+#include "sapphirespan_report/logs/JsonLog.h"
+
+namespace sapphirespan {
+
+/** One instance with cookie steering as a process: connects the decisions to sockets, the store and signals.
+
+    Thread safety: none; everything runs on the loop of run().
+*/
+class CookieDaemon
+{
+public:
+    /** Makes the source of routes and upstreams, once the loop exists. */
+    using SourceMaker = std::function<std::unique_ptr<KnowledgeSource>(EventLoop &loop, const Endpoint &platform)>;
+
+    /** @param settingsPath file that is read again when it changes @param format outlives the daemon */
+    CookieDaemon(const CookieSettings &settings, std::string settingsPath, const PacketFormat &format, const SourceMaker &makeSource);
+
+    /** Binds the endpoints. @returns false, with the reason, when one cannot be bound */
+    bool start(LastReason &reason);
+
+    /** Runs until the instance has left. @returns the exit code: 0 */
+    int run();
+
+private:
+    void connectDecisions();
+    void connectSource();
+    void connectSignals();
+    HttpResponse controlAnswer(const HttpRequest &request) const;
+    void carryOut();
+    void fetchSnapshot(const Endpoint &control);
+    void tick();
+    void checkLeaving();
+    void reload(bool isAsked);
+    void logEvent(const CookieEvent &event);
+
+    CookieSettings m_settings;
+    std::string m_settingsPath;
+    std::string m_settingsText;
+    SystemClock m_clock;
+    JsonLog m_log;
+    EventLoop m_loop;
+    CookieInstance m_instance;
+    std::unique_ptr<KnowledgeSource> m_source;
+    HttpClient m_client;
+    ConnectionProber m_prober;
+    std::unique_ptr<UdpSocket> m_ingress;
+    std::unique_ptr<UdpSocket> m_peer;
+    std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<HttpServer> m_control;
+    std::vector<EventHandle> m_handles;
+    std::vector<OutgoingDatagram> m_datagrams;
+    std::vector<OutgoingDatagram> m_reports;
+    bool m_isFetching = false;
+    std::optional<SteadyTime> m_leavingSince;
+};
+
+} // namespace sapphirespan
--- a/apps/sapphirespand/main.cpp
+++ b/apps/sapphirespand/main.cpp
@@ -3,11 +3,15 @@
 
     Exit codes: 0 after a complete hand-over or a clean check, 1 findings or a hand-over cut short, 2 usage.
 */
+#include "CookieDaemon.h"
 #include "Daemon.h"
 
+#include "platform/Adapter.h"
+
 #include <gflags/gflags.h>
 
 #include <cstdio>
+#include <random>
 
 DEFINE_string(settings, "", "settings file of this instance (YAML)");
 DEFINE_bool(check_settings, false, "check the settings and key files and exit");
@@ -17,28 +21,29 @@
 constexpr int exitFindings = 1;
 constexpr int exitUsage = 2;
 
-std::optional<sapphirespan::InstanceSettings> loadSettings(const std::string &path, sapphirespan::FindingList &findings)
+void printFindings(const sapphirespan::FindingList &findings)
 {
-    const auto text = sapphirespan::readTextFile(path, findings);
-    return text ? sapphirespan::parseInstanceSettings(path, *text, findings) : std::nullopt;
+    for (const auto &finding : findings.sorted()) {
+        std::fprintf(stderr, "%s\n", sapphirespan::toText(finding).c_str());
+    }
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+template<typename Daemon>
+int runDaemon(Daemon &daemon)
 {
-    gflags::SetUsageMessage("runs one entry instance\n  sapphirespand --settings=FILE [--check_settings]");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_settings.empty() || argc != 1) {
-        std::fprintf(stderr, "usage: sapphirespand --settings=FILE [--check_settings]\n");
-        return exitUsage;
+    sapphirespan::LastReason reason;
+    if (!daemon.start(reason)) {
+        std::fprintf(stderr, "%s\n", reason.text().c_str());
+        return exitFindings;
     }
-    sapphirespan::FindingList findings;
-    const auto settings = loadSettings(FLAGS_settings, findings);
+    return daemon.run();
+}
+
+int runWithBuckets(const std::string &path, const std::string &text, sapphirespan::FindingList &findings)
+{
+    const auto settings = sapphirespan::parseInstanceSettings(path, text, findings);
     const auto keys = settings ? sapphirespan::loadKeyRing(settings->keyFile, findings) : std::nullopt;
-    for (const auto &finding : findings.sorted()) {
-        std::fprintf(stderr, "%s\n", sapphirespan::toText(finding).c_str());
-    }
+    printFindings(findings);
     if (!settings || !keys) {
         return exitFindings;
     }
@@ -46,10 +51,42 @@
         return 0;
     }
     sapphirespan::Daemon daemon(*settings, *keys);
-    sapphirespan::LastReason reason;
-    if (!daemon.start(reason)) {
-        std::fprintf(stderr, "%s\n", reason.text().c_str());
+    return runDaemon(daemon);
+}
+
+int runWithCookies(const std::string &path, const std::string &text, sapphirespan::FindingList &findings)
+{
+    const auto settings = sapphirespan::parseCookieSettings(path, text, findings);
+    printFindings(findings);
+    if (!settings) {
         return exitFindings;
     }
-    return daemon.run();
+    if (FLAGS_check_settings) {
+        return 0;
+    }
+    const sapphirespan::platform::PacketHead format;
+    sapphirespan::CookieDaemon daemon(*settings, path, format, [](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
+        return std::make_unique<sapphirespan::platform::StoreWatcher>(loop, store, std::random_device()());
+    });
+    return runDaemon(daemon);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs one entry instance\n  sapphirespand --settings=FILE [--check_settings]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto path = FLAGS_settings.empty() ? sapphirespan::platform::settingsPath() : FLAGS_settings;
+    if (path.empty() || argc != 1) {
+        std::fprintf(stderr, "usage: sapphirespand --settings=FILE [--check_settings]\n");
+        return exitUsage;
+    }
+    sapphirespan::FindingList findings;
+    const auto text = sapphirespan::readTextFile(path, findings);
+    if (!text) {
+        printFindings(findings);
+        return exitFindings;
+    }
+    return sapphirespan::asksForCookieSteering(*text) ? runWithCookies(path, *text, findings) : runWithBuckets(path, *text, findings);
 }
--- a/modules/sapphirespan_config/sapphirespan_config.h
+++ b/modules/sapphirespan_config/sapphirespan_config.h
@@ -12,6 +12,7 @@
 #include "sapphirespan_config/catalogue/ServiceContent.h"
 #include "sapphirespan_config/service/ServiceFile.h"
 #include "sapphirespan_config/service/ServiceFileSet.h"
+#include "sapphirespan_config/settings/CookieSettings.h"
 #include "sapphirespan_config/settings/InstanceSettings.h"
 #include "sapphirespan_config/settings/KeyRing.h"
 #include "sapphirespan_config/yaml/YamlReader.h"
--- /dev/null
+++ b/modules/sapphirespan_config/settings/CookieSettings.cpp
@@ -0,0 +1,68 @@
+#include "sapphirespan_config/settings/CookieSettings.h"
+
+#include "sapphirespan_config/settings/SettingsReading.h"
+
+namespace sapphirespan {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+void parseListen(YamlReader &reader, const YAML::Node &node, CookieSettings &settings)
+{
+    if (!reader.checkKeys(node, {"ingress", "readiness", "peer", "control"})) {
+        return;
+    }
+    settings.ingress = reader.endpoint(node, "ingress", true).value_or(Endpoint {});
+    settings.readiness = reader.endpoint(node, "readiness", true).value_or(Endpoint {});
+    settings.peer = reader.endpoint(node, "peer", true).value_or(Endpoint {});
+    settings.control = reader.endpoint(node, "control", true).value_or(Endpoint {});
+}
+
+void parseRoot(YamlReader &reader, const YAML::Node &root, CookieSettings &settings)
+{
+    settings.name = settingsName(reader, root, "instance");
+    settings.dataCentre = settingsName(reader, root, "data_centre");
+    if (root["listen"].IsDefined()) {
+        parseListen(reader, root["listen"], settings);
+    } else {
+        reader.addFinding(root, "the key 'listen'", "none");
+    }
+    settings.platform = reader.endpoint(root, "platform", true).value_or(Endpoint {});
+    settings.seeds = settingsEndpoints(reader, root, "seeds", settings.control);
+    settings.logLevel = settingsLogLevel(reader, root);
+    settings.flowLifetime = reader.duration(root, "flow_lifetime", settings.flowLifetime, 1s, 24h);
+    settings.leaveLimit = reader.duration(root, "leave_limit", settings.leaveLimit, 1s, 1h);
+}
+
+} // namespace
+
+bool asksForCookieSteering(const std::string &text)
+{
+    try {
+        const auto root = YAML::Load(text);
+        return root.IsMap() && root["steering"].IsDefined() && root["steering"].IsScalar() && root["steering"].Scalar() == "cookie";
+    } catch (const YAML::Exception &) {
+        return false; // the reader of the settings reports what is wrong with its place
+    }
+}
+
+std::optional<CookieSettings> parseCookieSettings(const std::string &path, const std::string &text, FindingList &findings)
+{
+    FindingList mine;
+    YamlReader reader(path, mine);
+    CookieSettings settings;
+    const auto root = reader.parse(text);
+    if (root
+        && reader.checkKeys(
+            *root, {"steering", "instance", "data_centre", "listen", "platform", "seeds", "log_level", "flow_lifetime", "leave_limit"})) {
+        const YAML::Node constant = *root;
+        parseRoot(reader, constant, settings);
+    }
+    for (const auto &finding : mine.sorted()) {
+        findings.add(finding.place, finding.expected, finding.found);
+    }
+    return mine.isEmpty() ? std::optional(settings) : std::nullopt;
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_config/settings/CookieSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "sapphirespan_base/sapphirespan_base.h"
+
+#include <vector>
+
+namespace sapphirespan {
+
+/** Everything that a settings file of an instance with cookie steering says. */
+struct CookieSettings {
+    std::string name;
+    std::string dataCentre;
+    Endpoint ingress; ///< UDP: packets of clients; also the port at which clients take packets
+    Endpoint readiness; ///< TCP: whether packets may be handed to this instance
+    Endpoint peer; ///< UDP: reports between instances
+    Endpoint control; ///< TCP: snapshots for peers, metrics
+    Endpoint platform; ///< TCP: the store of the platform
+    std::vector<Endpoint> seeds; ///< control endpoints of other instances; may be out of date
+    std::string logLevel = "info";
+    Milliseconds flowLifetime {60000}; ///< after which a flow may be forgotten
+    Milliseconds leaveLimit {6000}; ///< after which a leaving instance is ended from outside
+
+    bool operator==(const CookieSettings &) const = default;
+};
+
+/** @returns whether a settings file asks for cookie steering; anything that cannot be read does not. */
+bool asksForCookieSteering(const std::string &text);
+
+/** Reads a settings file. Keys without a value count as missing.
+    @returns nothing after recording findings. Thread safety: pure but for `findings`.
+*/
+std::optional<CookieSettings> parseCookieSettings(const std::string &path, const std::string &text, FindingList &findings);
+
+} // namespace sapphirespan
--- a/modules/sapphirespan_config/settings/InstanceSettings.cpp
+++ b/modules/sapphirespan_config/settings/InstanceSettings.cpp
@@ -1,9 +1,6 @@
 #include "sapphirespan_config/settings/InstanceSettings.h"
 
-#include "sapphirespan_config/service/ServiceFile.h"
-#include "sapphirespan_config/yaml/YamlReader.h"
-
-#include <algorithm>
+#include "sapphirespan_config/settings/SettingsReading.h"
 
 namespace sapphirespan {
 
@@ -11,8 +8,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::array<std::string_view, 5> logLevels {"trace", "debug", "info", "warning", "error"};
-
 InstanceTiming parseTiming(YamlReader &reader, const YAML::Node &node)
 {
     InstanceTiming timing;
@@ -41,31 +36,10 @@
     settings.control = reader.endpoint(node, "control", true).value_or(Endpoint {});
 }
 
-void parseSeeds(YamlReader &reader, const YAML::Node &root, InstanceSettings &settings)
-{
-    for (const auto &node : reader.sequence(root, "peers", false)) {
-        const auto endpoint = node.IsScalar() ? Endpoint::parse(node.Scalar()) : std::nullopt;
-        if (!endpoint) {
-            reader.addFinding(node, "a numeric ip:port", describe(node));
-        } else if (*endpoint != settings.peer) {
-            settings.seeds.push_back(*endpoint);
-        }
-    }
-}
-
-std::string nameAt(YamlReader &reader, const YAML::Node &root, const char *key)
-{
-    const auto name = reader.text(root, key, true).value_or("");
-    if (!name.empty() && !isValidName(name)) {
-        reader.addFinding(root[key], "1 to 63 lower-case letters, digits and inner hyphens", "'" + name + "'");
-    }
-    return name;
-}
-
 void parseRoot(YamlReader &reader, const YAML::Node &root, InstanceSettings &settings)
 {
-    settings.name = nameAt(reader, root, "instance");
-    settings.dataCentre = nameAt(reader, root, "data_centre");
+    settings.name = settingsName(reader, root, "instance");
+    settings.dataCentre = settingsName(reader, root, "data_centre");
     if (root["listen"].IsDefined()) {
         parseListen(reader, root["listen"], settings);
     } else {
@@ -75,11 +49,8 @@
     settings.platform = reader.endpoint(root, "platform", false);
     settings.keyFile = reader.text(root, "key_file", true).value_or("");
     settings.mostFlowEntries = static_cast<std::uint32_t>(reader.number(root, "flow_entries", settings.mostFlowEntries, 1024, 64 << 20));
-    settings.logLevel = reader.text(root, "log_level", false).value_or(settings.logLevel);
-    if (std::find(logLevels.begin(), logLevels.end(), settings.logLevel) == logLevels.end()) {
-        reader.addFinding(root["log_level"], "trace, debug, info, warning or error", "'" + settings.logLevel + "'");
-    }
-    parseSeeds(reader, root, settings);
+    settings.logLevel = settingsLogLevel(reader, root);
+    settings.seeds = settingsEndpoints(reader, root, "peers", settings.peer);
     if (root["timing"].IsDefined()) {
         settings.timing = parseTiming(reader, root["timing"]);
     }
--- /dev/null
+++ b/modules/sapphirespan_config/settings/SettingsReading.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "sapphirespan_config/yaml/YamlReader.h"
+
+namespace sapphirespan {
+
+/** @returns the name of an instance or data centre at a key, which is required. */
+std::string settingsName(YamlReader &reader, const YAML::Node &root, const char *key);
+
+/** @returns the endpoints of the sequence at a key, without `own`. */
+std::vector<Endpoint> settingsEndpoints(YamlReader &reader, const YAML::Node &root, const char *key, const Endpoint &own);
+
+/** @returns the log level at the key log_level, "info" if there is none. */
+std::string settingsLogLevel(YamlReader &reader, const YAML::Node &root);
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -0,0 +1,116 @@
+#include "sapphirespan_cookie/evidence/UpstreamEvidence.h"
+
+#include <algorithm>
+
+namespace sapphirespan {
+
+namespace {
+
+/** Shortest time between two connection attempts to one upstream. */
+constexpr Milliseconds shortestProbeGap {100};
+
+/** Progress so recent outweighs a peer's finding, since the peer may be the one that is cut off. */
+constexpr Milliseconds recentProgress {200};
+
+void become(UpstreamEvidence &evidence, Reachability state, SteadyTime now)
+{
+    evidence.state = state;
+    evidence.stateSince = now;
+}
+
+void becomeDark(UpstreamEvidence &evidence, SteadyTime now)
+{
+    become(evidence, Reachability::dark, now);
+    evidence.darkUntil = now + std::min(firstDark * (1 << std::min<int>(evidence.darkRounds, 3)), longestDark);
+    evidence.darkRounds = static_cast<std::uint8_t>(std::min(evidence.darkRounds + 1, 8));
+}
+
+void clear(UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (evidence.state != Reachability::fine) {
+        become(evidence, Reachability::fine, now);
+        evidence.trickleUntil = now + trickleTime;
+    }
+    evidence.stalledFlows = 0;
+    evidence.stalledOpenings = 0;
+    evidence.failedProbes = 0;
+}
+
+} // namespace
+
+bool noteProgress(UpstreamEvidence &evidence, SteadyTime now)
+{
+    const bool isNews = evidence.state != Reachability::fine;
+    clear(evidence, now);
+    evidence.darkRounds = 0;
+    evidence.lastProgress = now;
+    return isNews;
+}
+
+void noteStall(UpstreamEvidence &evidence, bool isOpening)
+{
+    auto &count = isOpening ? evidence.stalledOpenings : evidence.stalledFlows;
+    count = static_cast<std::uint16_t>(std::min(count + 1, 0xffff));
+}
+
+bool judge(UpstreamEvidence &evidence, SteadyTime now)
+{
+    const int stalled = evidence.stalledFlows + evidence.stalledOpenings;
+    if (evidence.state != Reachability::fine || stalled < stalledToSuspect || now - evidence.lastProgress < suspectAfter) {
+        return false;
+    }
+    become(evidence, Reachability::suspect, now);
+    return true;
+}
+
+bool noteProbe(UpstreamEvidence &evidence, bool isAnswered, SteadyTime now)
+{
+    evidence.isProbing = false;
+    if (isAnswered) {
+        clear(evidence, now);
+        evidence.darkRounds = 0;
+        return false;
+    }
+    if (evidence.state == Reachability::fine) {
+        return false; // progress was seen while the attempt was on its way
+    }
+    ++evidence.failedProbes;
+    const int needed = evidence.stalledFlows >= stalledToTrustOneProbe ? 1 : 2;
+    if (evidence.state == Reachability::suspect && evidence.failedProbes < needed) {
+        return false;
+    }
+    const bool isNews = evidence.state != Reachability::dark;
+    becomeDark(evidence, now);
+    return isNews;
+}
+
+bool noteDarkAtPeer(UpstreamEvidence &evidence, Milliseconds age, SteadyTime now)
+{
+    const auto foundAt = now - age;
+    if (evidence.state != Reachability::fine || evidence.lastProgress > foundAt - recentProgress || evidence.stateSince > foundAt) {
+        return false;
+    }
+    evidence.stalledFlows = stalledToTrustOneProbe;
+    become(evidence, Reachability::suspect, now);
+    return true;
+}
+
+bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (evidence.isProbing || now - evidence.lastProbe < shortestProbeGap) {
+        return false;
+    }
+    return evidence.state == Reachability::suspect || (evidence.state == Reachability::dark && now >= evidence.darkUntil);
+}
+
+void forgetFindings(UpstreamEvidence &evidence, SteadyTime now)
+{
+    evidence.lastProgress = now;
+    evidence.stalledFlows = 0;
+    evidence.stalledOpenings = 0;
+    if (evidence.state == Reachability::suspect) {
+        become(evidence, Reachability::fine, now);
+    }
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -0,0 +1,174 @@
+#include "sapphirespan_cookie/instance/CookieInstance.h"
+
+#include "sapphirespan_cookie/systems/CookieJudgeSystem.h"
+#include "sapphirespan_cookie/systems/CookieKnowledgeSystem.h"
+#include "sapphirespan_cookie/systems/CookiePacketSystem.h"
+#include "sapphirespan_cookie/systems/CookiePeerSystem.h"
+
+namespace sapphirespan {
+
+namespace {
+
+/** Time between two sweeps over the flows. */
+constexpr Milliseconds sweepPeriod {500};
+
+/** Silence between two ticks that means that the process did not run; ticks come every 50 ms. */
+constexpr Milliseconds pauseThreshold {600};
+
+/** What was seen before a pause says nothing about upstreams, and a peer may have taken over the watch. */
+void notePause(CookieState &state)
+{
+    announce(state, CookieEventKind::instancePaused, 0, "");
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        forgetFindings(row.evidence, state.now);
+    }
+}
+
+} // namespace
+
+CookieInstance::CookieInstance(const CookieInstanceSettings &settings, const PacketFormat &format, const Clock &clock)
+    : m_state(std::make_unique<CookieState>(settings, format, clock))
+{
+}
+
+CookieInstance::~CookieInstance() = default;
+
+void CookieInstance::beginBatch()
+{
+    m_state->now = m_state->clock.steadyNow();
+    if (m_state->now - m_state->lastTick > pauseThreshold) {
+        m_state->lastTick = m_state->now;
+        notePause(*m_state);
+    }
+}
+
+void CookieInstance::packetArrived(std::span<std::uint8_t> bytes)
+{
+    handleClientPacket(*m_state, bytes);
+}
+
+void CookieInstance::peerDatagramArrived(std::span<const std::uint8_t> datagram)
+{
+    takePeerDatagram(*m_state, datagram);
+}
+
+void CookieInstance::upstreamsListed(const UpstreamList &list)
+{
+    learnList(*m_state, list);
+}
+
+void CookieInstance::upstreamsChanged(const UpstreamChanges &changes)
+{
+    learnChanges(*m_state, changes);
+}
+
+void CookieInstance::routesArrived(const RouteConfiguration &configuration)
+{
+    learnRoutes(*m_state, configuration);
+}
+
+void CookieInstance::storeConfirmed(KnowledgePart part)
+{
+    (part == KnowledgePart::routes ? m_state->routesConfirmedAt : m_state->upstreamsConfirmedAt) = m_state->now;
+    m_state->storeFailedAt.reset();
+}
+
+void CookieInstance::storeFailed()
+{
+    m_state->isReportUrgent = m_state->isReportUrgent || !m_state->storeFailedAt;
+    m_state->storeFailedAt = m_state->now;
+}
+
+void CookieInstance::snapshotArrived(const KnowledgeSnapshot &snapshot)
+{
+    learnSnapshot(*m_state, snapshot);
+}
+
+void CookieInstance::probeEnded(FlowCookie cookie, ProbeResult result)
+{
+    takeProbe(*m_state, cookie, result);
+}
+
+void CookieInstance::leaveRequested()
+{
+    if (!m_state->isLeaving) {
+        m_state->isLeaving = true;
+        m_state->isReportUrgent = true;
+        announce(*m_state, CookieEventKind::instanceLeaving, 0, "");
+    }
+}
+
+void CookieInstance::setSeeds(const std::vector<Endpoint> &seeds)
+{
+    m_state->settings.seeds = seeds;
+}
+
+void CookieInstance::tick()
+{
+    beginBatch();
+    auto &state = *m_state;
+    state.lastTick = state.now;
+    judgeUpstreams(state);
+    if (state.now - state.lastSweep >= sweepPeriod) {
+        sweepFlows(state);
+    }
+    decideWatching(state);
+    requestSnapshots(state);
+    sendReports(state);
+}
+
+CookieOutbox &CookieInstance::outbox()
+{
+    return m_state->outbox;
+}
+
+std::vector<ProbeRequest> CookieInstance::takeProbeRequests()
+{
+    return std::exchange(m_state->probeRequests, {});
+}
+
+std::vector<SnapshotRequest> CookieInstance::takeSnapshotRequests()
+{
+    return std::exchange(m_state->snapshotRequests, {});
+}
+
+bool CookieInstance::wantsStore() const
+{
+    return m_state->isWatching;
+}
+
+bool CookieInstance::isReady() const
+{
+    return isLoaded(*m_state) && !m_state->isLeaving;
+}
+
+Milliseconds CookieInstance::sinceLastPacket() const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_state->clock.steadyNow() - m_state->lastPacket);
+}
+
+std::optional<KnowledgeSnapshot> CookieInstance::snapshot() const
+{
+    if (!isLoaded(*m_state)) {
+        return std::nullopt;
+    }
+    return KnowledgeSnapshot {m_state->routes.configuration(), m_state->upstreams.entries(),
+                              static_cast<std::uint32_t>(knowledgeAge(*m_state).count())};
+}
+
+const CookieAccounts &CookieInstance::accounts() const
+{
+    return m_state->accounts;
+}
+
+const CookieState &CookieInstance::state() const
+{
+    return *m_state;
+}
+
+sigc::signal<void(const CookieEvent &)> &CookieInstance::signalEvent()
+{
+    return m_state->signalEvent;
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
@@ -0,0 +1,195 @@
+#include "sapphirespan_cookie/knowledge/UpstreamDirectory.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+
+namespace sapphirespan {
+
+namespace {
+
+/** @returns the first bytes of a BLAKE2b digest as a number. */
+std::uint64_t shortDigest(std::uint64_t first, std::uint64_t second)
+{
+    std::array<std::uint8_t, 16> input {};
+    for (std::size_t index = 0; index < 8; ++index) {
+        input[index] = static_cast<std::uint8_t>(first >> (8 * index));
+        input[8 + index] = static_cast<std::uint8_t>(second >> (8 * index));
+    }
+    std::array<std::uint8_t, crypto_generichash_BYTES_MIN> digest {};
+    crypto_generichash(digest.data(), digest.size(), input.data(), input.size(), nullptr, 0);
+    std::uint64_t result = 0;
+    for (std::size_t index = 0; index < sizeof result; ++index) {
+        result = (result << 8) | digest[index];
+    }
+    return result;
+}
+
+std::uint64_t digestOf(const UpstreamEntry &entry)
+{
+    return shortDigest(entry.id, entry.revision);
+}
+
+} // namespace
+
+FlowCookie cookieOf(UpstreamId id, std::int64_t startedAt)
+{
+    const auto cookie = static_cast<FlowCookie>(shortDigest(id, static_cast<std::uint64_t>(startedAt)) >> 32);
+    return cookie != 0 ? cookie : 1;
+}
+
+UpstreamRow *UpstreamDirectory::latestOf(UpstreamId id)
+{
+    const auto found = m_latest.find(id);
+    return found == m_latest.end() ? nullptr : &m_rows.at(found->second);
+}
+
+/** Replaces a row's entry and keeps the digest of listed entries up to date. */
+void UpstreamDirectory::store(UpstreamRow &row, const UpstreamEntry &entry, SteadyTime now)
+{
+    if (row.entry.id != 0 && row.entry.phase != ListedPhase::departed) {
+        m_digest ^= digestOf(row.entry);
+    }
+    if (entry.phase != ListedPhase::departed) {
+        m_digest ^= digestOf(entry);
+        row.departedAt.reset();
+    } else if (!row.departedAt) {
+        row.departedAt = now;
+    }
+    row.entry = entry;
+    row.address = toEndpoint(entry.address);
+    row.warmUntil = now + Milliseconds(entry.warmUpLeftMs);
+}
+
+bool UpstreamDirectory::merge(const UpstreamEntry &entry, SteadyTime now)
+{
+    const auto cookie = cookieOf(entry.id, entry.startedAt);
+    auto *latest = latestOf(entry.id);
+    const bool isNewer = latest == nullptr || entry.revision > latest->entry.revision;
+    if (const auto found = m_rows.find(cookie); found != m_rows.end()) {
+        auto &row = found->second;
+        if (row.entry.id != entry.id || row.entry.startedAt != entry.startedAt) {
+            row.isAmbiguous = true;
+            return false;
+        }
+        const bool isDeparture = entry.phase == ListedPhase::departed && row.entry.phase != ListedPhase::departed;
+        if (entry.revision < row.entry.revision || (entry.revision == row.entry.revision && !isDeparture)) {
+            return false;
+        }
+        store(row, entry, now);
+        if (isNewer) {
+            m_latest[entry.id] = cookie;
+        }
+        return true;
+    }
+    auto added = entry;
+    if (!isNewer) {
+        added.phase = ListedPhase::departed; // an earlier start of an id that has started again
+    } else if (latest != nullptr && latest->entry.phase != ListedPhase::departed) {
+        auto earlier = latest->entry;
+        earlier.phase = ListedPhase::departed;
+        store(*latest, earlier, now);
+    }
+    auto &row = m_rows[cookie];
+    row.cookie = cookie;
+    row.learnedAt = now;
+    row.evidence.lastProgress = now;
+    store(row, added, now);
+    if (isNewer) {
+        m_latest[entry.id] = cookie;
+    }
+    return true;
+}
+
+std::vector<UpstreamEntry> UpstreamDirectory::replaceAll(const UpstreamList &list, SteadyTime now)
+{
+    std::vector<UpstreamEntry> changed;
+    std::set<UpstreamId> listed(list.unreadable.begin(), list.unreadable.end());
+    for (const auto id : list.unreadable) {
+        if (auto entry = markUnreadable(id, 0, now)) {
+            changed.push_back(*entry);
+        }
+    }
+    for (const auto &entry : list.entries) {
+        listed.insert(entry.id);
+        if (merge(entry, now)) {
+            changed.push_back(entry);
+        }
+    }
+    std::vector<UpstreamId> missing;
+    for (const auto &[cookie, row] : m_rows) {
+        if (row.entry.phase != ListedPhase::departed && row.entry.revision <= list.revision && !listed.contains(row.entry.id)) {
+            missing.push_back(row.entry.id);
+        }
+    }
+    for (const auto id : missing) {
+        if (auto entry = depart(id, 0, now)) {
+            changed.push_back(*entry);
+        }
+    }
+    return changed;
+}
+
+/** A departure or an unreadable entry keeps what was known of the upstream, but for its phase. */
+std::optional<UpstreamEntry> UpstreamDirectory::mark(UpstreamId id, ListedPhase phase, std::uint64_t revision, SteadyTime now)
+{
+    auto *latest = latestOf(id);
+    if (latest == nullptr || latest->entry.phase == phase || (revision != 0 && revision < latest->entry.revision)) {
+        return std::nullopt;
+    }
+    auto entry = latest->entry;
+    entry.phase = phase;
+    entry.revision = std::max(entry.revision, revision);
+    store(*latest, entry, now);
+    return entry;
+}
+
+std::optional<UpstreamEntry> UpstreamDirectory::depart(UpstreamId id, std::uint64_t revision, SteadyTime now)
+{
+    return mark(id, ListedPhase::departed, revision, now);
+}
+
+std::optional<UpstreamEntry> UpstreamDirectory::markUnreadable(UpstreamId id, std::uint64_t revision, SteadyTime now)
+{
+    return mark(id, ListedPhase::unreadable, revision, now);
+}
+
+void UpstreamDirectory::forgetDeparted(SteadyTime before)
+{
+    for (auto row = m_rows.begin(); row != m_rows.end();) {
+        if (row->second.departedAt && *row->second.departedAt < before) {
+            if (const auto latest = m_latest.find(row->second.entry.id); latest != m_latest.end() && latest->second == row->first) {
+                m_latest.erase(latest);
+            }
+            row = m_rows.erase(row);
+        } else {
+            ++row;
+        }
+    }
+}
+
+UpstreamRow *UpstreamDirectory::find(FlowCookie cookie)
+{
+    const auto found = m_rows.find(cookie);
+    return found == m_rows.end() || found->second.isAmbiguous ? nullptr : &found->second;
+}
+
+std::vector<UpstreamEntry> UpstreamDirectory::entries() const
+{
+    std::vector<UpstreamEntry> result;
+    result.reserve(m_rows.size());
+    for (const auto &[cookie, row] : m_rows) {
+        result.push_back(row.entry);
+    }
+    return result;
+}
+
+std::size_t UpstreamDirectory::listedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_rows.begin(), m_rows.end(), [](const auto &item) { return item.second.entry.phase != ListedPhase::departed; }));
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -0,0 +1,263 @@
+#include "sapphirespan_cookie/peers/PeerReport.h"
+
+#include "sapphirespan_base/codec/MsgpackReading.h"
+
+namespace sapphirespan {
+
+namespace {
+
+/** Leads every message, so that datagrams of other programs and other versions are not taken for one. */
+constexpr std::uint32_t reportMark = 0x53505231;
+constexpr std::uint32_t snapshotMark = 0x53505331;
+
+bool boolFrom(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::BOOLEAN) {
+        throw BadMessage {};
+    }
+    return object.via.boolean;
+}
+
+void pack(Packer &packer, const Ipv4Endpoint &endpoint)
+{
+    packer.pack((std::uint64_t(endpoint.address) << 16) | endpoint.port);
+}
+
+Ipv4Endpoint ipv4From(const msgpack::object &object)
+{
+    const auto packed = numberFrom<std::uint64_t>(object);
+    if (packed >> 48 != 0) {
+        throw BadMessage {};
+    }
+    return {static_cast<std::uint32_t>(packed >> 16), static_cast<std::uint16_t>(packed)};
+}
+
+void pack(Packer &packer, const UpstreamEntry &entry)
+{
+    packHeader(packer, 9);
+    packer.pack(entry.id);
+    packer.pack(entry.startedAt);
+    packer.pack(entry.revision);
+    packer.pack(entry.service);
+    pack(packer, entry.address);
+    packer.pack(entry.dataCentre);
+    packer.pack(entry.slots);
+    packer.pack(static_cast<std::uint8_t>(entry.phase));
+    packer.pack(entry.warmUpLeftMs);
+}
+
+UpstreamEntry entryFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object, 9);
+    UpstreamEntry entry;
+    entry.id = numberFrom<UpstreamId>(list[0]);
+    entry.startedAt = signedFrom(list[1]);
+    entry.revision = numberFrom<std::uint64_t>(list[2]);
+    entry.service = textFrom(list[3]);
+    entry.address = ipv4From(list[4]);
+    entry.dataCentre = textFrom(list[5]);
+    entry.slots = numberFrom<std::uint16_t>(list[6]);
+    entry.phase = enumFrom<ListedPhase>(list[7]);
+    entry.warmUpLeftMs = numberFrom<std::uint32_t>(list[8]);
+    if (entry.id == 0) {
+        throw BadMessage {};
+    }
+    return entry;
+}
+
+void pack(Packer &packer, const PeerCard &card)
+{
+    packHeader(packer, 5);
+    packer.pack(card.name);
+    packer.pack(card.incarnation);
+    packer.pack(card.dataCentre);
+    packer.pack(card.peer.toText());
+    packer.pack(card.control.toText());
+}
+
+PeerCard cardFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object, 5);
+    return {textFrom(list[0]), numberFrom<std::uint64_t>(list[1]), textFrom(list[2]), endpointFrom(list[3]), endpointFrom(list[4])};
+}
+
+void pack(Packer &packer, const LoadReport &load)
+{
+    packHeader(packer, 3);
+    packer.pack(load.cookie);
+    packer.pack(load.flows);
+    packer.pack(load.waiting);
+}
+
+LoadReport loadFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object, 3);
+    return {numberFrom<FlowCookie>(list[0]), numberFrom<std::uint32_t>(list[1]), numberFrom<std::uint32_t>(list[2])};
+}
+
+void pack(Packer &packer, const DarkReport &dark)
+{
+    packHeader(packer, 2);
+    packer.pack(dark.cookie);
+    packer.pack(dark.ageMs);
+}
+
+DarkReport darkFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object, 2);
+    return {numberFrom<FlowCookie>(list[0]), numberFrom<std::uint32_t>(list[1])};
+}
+
+void pack(Packer &packer, const PeerSighting &sighting)
+{
+    packHeader(packer, 2);
+    pack(packer, sighting.card);
+    packer.pack(sighting.ageMs);
+}
+
+PeerSighting sightingFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object, 2);
+    return {cardFrom(list[0]), numberFrom<std::uint32_t>(list[1])};
+}
+
+void pack(Packer &packer, const Route &route)
+{
+    packHeader(packer, 1 + 2 * route.services.size());
+    pack(packer, route.address);
+    for (const auto &item : route.services) {
+        packer.pack(item.service);
+        packer.pack(item.weight);
+    }
+}
+
+Route routeFrom(const msgpack::object &object)
+{
+    const auto list = listFrom(object);
+    if (list.size() % 2 != 1) {
+        throw BadMessage {};
+    }
+    Route route {ipv4From(list[0]), {}};
+    for (std::size_t index = 1; index < list.size(); index += 2) {
+        route.services.push_back({textFrom(list[index]), numberFrom<std::uint32_t>(list[index + 1])});
+    }
+    return route;
+}
+
+template<typename Value>
+void packAll(Packer &packer, const std::vector<Value> &values)
+{
+    packHeader(packer, values.size());
+    for (const auto &value : values) {
+        pack(packer, value);
+    }
+}
+
+template<typename Value>
+std::vector<Value> allFrom(const msgpack::object &object, Value (*read)(const msgpack::object &))
+{
+    std::vector<Value> values;
+    for (const auto &item : listFrom(object)) {
+        values.push_back(read(item));
+    }
+    return values;
+}
+
+RouteConfiguration configurationFrom(std::span<const msgpack::object> list)
+{
+    RouteConfiguration routes;
+    routes.revision = numberFrom<std::uint64_t>(list[1]);
+    routes.version = numberFrom<std::uint64_t>(list[2]);
+    routes.idleTimeout = Milliseconds(numberFrom<std::uint32_t>(list[3]));
+    routes.routes = allFrom(list[4], routeFrom);
+    return routes;
+}
+
+/** Decodes with `read`, which throws on the first value of another shape. */
+template<typename Read>
+auto decoded(std::span<const std::uint8_t> bytes, std::uint32_t mark, std::size_t fields, Read read)
+    -> std::optional<decltype(read(std::span<const msgpack::object>()))>
+{
+    try {
+        const auto handle = msgpack::unpack(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+        const auto list = listFrom(handle.get(), fields);
+        if (numberFrom<std::uint32_t>(list[0]) != mark) {
+            return std::nullopt;
+        }
+        return read(list);
+    } catch (const BadMessage &) {
+        return std::nullopt;
+    } catch (const msgpack::unpack_error &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const PeerReport &report)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packHeader(packer, 13);
+    packer.pack(reportMark);
+    pack(packer, report.sender);
+    packer.pack(report.number);
+    packer.pack(static_cast<std::uint8_t>(report.phase));
+    packer.pack(report.reachesStore);
+    packer.pack(report.isWatching);
+    packer.pack(report.stamp.routesRevision);
+    packer.pack(report.stamp.upstreamsDigest);
+    packer.pack(report.knowledgeAgeMs);
+    packAll(packer, report.loads);
+    packAll(packer, report.dark);
+    packAll(packer, report.changes);
+    packAll(packer, report.sightings);
+    return {buffer.data(), buffer.data() + buffer.size()};
+}
+
+std::string encode(const KnowledgeSnapshot &snapshot)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packHeader(packer, 7);
+    packer.pack(snapshotMark);
+    packer.pack(snapshot.routes.revision);
+    packer.pack(snapshot.routes.version);
+    packer.pack(static_cast<std::uint32_t>(snapshot.routes.idleTimeout.count()));
+    packAll(packer, snapshot.routes.routes);
+    packAll(packer, snapshot.upstreams);
+    packer.pack(snapshot.knowledgeAgeMs);
+    return {buffer.data(), buffer.size()};
+}
+
+std::optional<PeerReport> decodeReport(std::span<const std::uint8_t> bytes)
+{
+    return decoded(bytes, reportMark, 13, [](std::span<const msgpack::object> list) {
+        PeerReport report;
+        report.sender = cardFrom(list[1]);
+        report.number = numberFrom<std::uint64_t>(list[2]);
+        report.phase = enumFrom<PeerPhase>(list[3]);
+        report.reachesStore = boolFrom(list[4]);
+        report.isWatching = boolFrom(list[5]);
+        report.stamp = {numberFrom<std::uint64_t>(list[6]), numberFrom<std::uint64_t>(list[7])};
+        report.knowledgeAgeMs = numberFrom<std::uint32_t>(list[8]);
+        report.loads = allFrom(list[9], loadFrom);
+        report.dark = allFrom(list[10], darkFrom);
+        report.changes = allFrom(list[11], entryFrom);
+        report.sightings = allFrom(list[12], sightingFrom);
+        return report;
+    });
+}
+
+std::optional<KnowledgeSnapshot> decodeSnapshot(std::span<const std::uint8_t> bytes)
+{
+    return decoded(bytes, snapshotMark, 7, [](std::span<const msgpack::object> list) {
+        KnowledgeSnapshot snapshot;
+        snapshot.routes = configurationFrom(list);
+        snapshot.upstreams = allFrom(list[5], entryFrom);
+        snapshot.knowledgeAgeMs = numberFrom<std::uint32_t>(list[6]);
+        return snapshot;
+    });
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -0,0 +1,129 @@
+#include "sapphirespan_cookie/peers/PeerTable.h"
+
+#include <algorithm>
+
+namespace sapphirespan {
+
+namespace {
+
+/** FNV-1a (Fowler, Noll and Vo), so that ranks do not follow names. */
+std::uint64_t rankKey(const std::string &name)
+{
+    std::uint64_t hash = 0xcbf29ce484222325U;
+    for (const char byte : name) {
+        hash = (hash ^ static_cast<std::uint8_t>(byte)) * 0x100000001b3U;
+    }
+    return hash;
+}
+
+} // namespace
+
+bool isAlive(const PeerRow &row, SteadyTime now)
+{
+    return now - row.lastAlive < peerLease;
+}
+
+PeerRow *PeerTable::take(const PeerReport &report, SteadyTime now)
+{
+    if (report.sender.name == m_self.name) {
+        return nullptr;
+    }
+    auto &row = m_rows[report.sender.name];
+    const bool isOld = report.sender.incarnation < row.card.incarnation
+        || (report.sender.incarnation == row.card.incarnation && report.number <= row.lastNumber);
+    if (isOld) {
+        return nullptr;
+    }
+    row.card = report.sender;
+    row.phase = report.phase;
+    row.reachesStore = report.reachesStore;
+    row.isWatching = report.isWatching;
+    row.lastNumber = report.number;
+    row.stamp = report.stamp;
+    row.lastAlive = now;
+    row.lastHeard = now;
+    return &row;
+}
+
+void PeerTable::take(const PeerSighting &sighting, SteadyTime now)
+{
+    if (sighting.card.name == m_self.name || sighting.card.peer == m_self.peer) {
+        return;
+    }
+    auto &row = m_rows[sighting.card.name];
+    if (sighting.card.incarnation < row.card.incarnation) {
+        return;
+    }
+    if (sighting.card.incarnation > row.card.incarnation) {
+        row.card = sighting.card;
+        row.lastNumber = 0;
+        row.phase = PeerPhase::starting;
+    }
+    row.lastAlive = std::max(row.lastAlive, now - Milliseconds(sighting.ageMs));
+}
+
+void PeerTable::forgetSilent(SteadyTime now)
+{
+    std::erase_if(m_rows, [now](const auto &item) { return now - item.second.lastAlive > peerMemory; });
+}
+
+bool PeerTable::isWatcher(bool selfReachesStore, SteadyTime now) const
+{
+    if (!selfReachesStore) {
+        return false;
+    }
+    const auto mine = rankKey(m_self.name);
+    std::size_t better = 0;
+    for (const auto &[name, row] : m_rows) {
+        const bool isCandidate = isAlive(row, now) && row.reachesStore && row.phase == PeerPhase::serving;
+        better += isCandidate && rankKey(name) < mine ? 1 : 0;
+    }
+    return better < watcherCount;
+}
+
+std::size_t PeerTable::rank(SteadyTime now) const
+{
+    const auto mine = rankKey(m_self.name);
+    return static_cast<std::size_t>(std::count_if(
+        m_rows.begin(), m_rows.end(), [&](const auto &item) { return isAlive(item.second, now) && rankKey(item.first) < mine; }));
+}
+
+std::vector<Endpoint> PeerTable::targets(bool isUrgent, SteadyTime now, std::mt19937_64 &random)
+{
+    std::vector<Endpoint> inside;
+    std::vector<Endpoint> outside;
+    for (const auto &[name, row] : m_rows) {
+        if (now - row.lastAlive < 4 * peerLease) { // a cut may heal; silent peers are still told for a while
+            (row.card.dataCentre == m_self.dataCentre ? inside : outside).push_back(row.card.peer);
+        }
+    }
+    ++m_round;
+    if (m_rows.size() >= smallFleet) {
+        std::shuffle(inside.begin(), inside.end(), random);
+        std::shuffle(outside.begin(), outside.end(), random);
+        inside.resize(std::min(inside.size(), fanOutInside));
+        outside.resize(std::min(outside.size(), fanOutOutside));
+    } else if (!isUrgent && m_round % 2 == 0) {
+        outside.clear(); // bytes between data centres cost more
+    }
+    inside.insert(inside.end(), outside.begin(), outside.end());
+    return inside;
+}
+
+std::vector<PeerSighting> PeerTable::sightings(SteadyTime now, std::size_t most, std::mt19937_64 &random) const
+{
+    std::vector<PeerSighting> result;
+    for (const auto &[name, row] : m_rows) {
+        if (isAlive(row, now)) {
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - row.lastAlive);
+            result.push_back({row.card, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0))});
+        }
+    }
+    if (result.size() > most) {
+        std::shuffle(result.begin(), result.end(), random);
+        result.resize(most);
+    }
+    return result;
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "sapphirespan_cookie/peers/PeerReport.h"
+
+#include <map>
+#include <random>
+
+namespace sapphirespan {
+
+/** Another instance, as this one knows it. */
+struct PeerRow {
+    PeerCard card;
+    PeerPhase phase = PeerPhase::starting;
+    bool reachesStore = false;
+    bool isWatching = false;
+    std::uint64_t lastNumber = 0;
+    KnowledgeStamp stamp;
+    SteadyTime lastAlive {}; ///< when it last sent something, as heard here or told by others
+    SteadyTime lastHeard {}; ///< when it was last heard here
+    std::vector<LoadReport> loads;
+};
+
+/** Silence after which a peer is taken to be out. */
+inline constexpr Milliseconds peerLease {1500};
+
+/** Silence after which a peer is forgotten. */
+inline constexpr Milliseconds peerMemory {60000};
+
+/** Instances that watch the store at a time; two, so that the loss of one delays nothing. */
+inline constexpr std::size_t watcherCount = 2;
+
+/** Fleet size up to which each instance reports to every other. */
+inline constexpr std::size_t smallFleet = 12;
+
+/** Peers of the own and of other data centres that get one report in a larger fleet. */
+inline constexpr std::size_t fanOutInside = 4;
+inline constexpr std::size_t fanOutOutside = 2;
+
+/** The other instances, by name. Thread safety: none. */
+class PeerTable
+{
+public:
+    explicit PeerTable(PeerCard self)
+        : m_self(std::move(self))
+    {
+    }
+
+    /** Takes in a report. @returns its sender's row, or nullptr for a report that is old or this instance's own */
+    PeerRow *take(const PeerReport &report, SteadyTime now);
+
+    /** Takes in that others heard of an instance. */
+    void take(const PeerSighting &sighting, SteadyTime now);
+
+    /** Forgets peers that were silent for long. */
+    void forgetSilent(SteadyTime now);
+
+    /** @returns whether this instance should watch the store: among the first by rank of those that reach it.
+        @param selfReachesStore whether this instance counts itself
+    */
+    bool isWatcher(bool selfReachesStore, SteadyTime now) const;
+
+    /** @returns this instance's rank among those alive, from 0; staggers what any may do but few should. */
+    std::size_t rank(SteadyTime now) const;
+
+    /** @returns the peers that get the next report. @param isUrgent whether other data centres get one in any case */
+    std::vector<Endpoint> targets(bool isUrgent, SteadyTime now, std::mt19937_64 &random);
+
+    /** @returns some peers that are alive, for a report. */
+    std::vector<PeerSighting> sightings(SteadyTime now, std::size_t most, std::mt19937_64 &random) const;
+
+    std::map<std::string, PeerRow> &rows()
+    {
+        return m_rows;
+    }
+
+    const std::map<std::string, PeerRow> &rows() const
+    {
+        return m_rows;
+    }
+
+    const PeerCard &self() const
+    {
+        return m_self;
+    }
+
+private:
+    PeerCard m_self;
+    std::map<std::string, PeerRow> m_rows;
+    std::uint64_t m_round = 0;
+};
+
+/** @returns whether a peer was alive within its lease. */
+bool isAlive(const PeerRow &row, SteadyTime now);
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -0,0 +1,119 @@
+#include "sapphirespan_cookie/placement/UpstreamChoice.h"
+
+#include <algorithm>
+
+namespace sapphirespan {
+
+namespace {
+
+/** Waiting requests weigh more than open flows, which may be idle. */
+constexpr double waitingWeight = 2;
+
+/** Relative width of the random tie-break. */
+constexpr double tieBreakWidth = 0.1;
+
+/** Flows per slot that are added for an upstream which was suspect or dark a moment ago. */
+constexpr double trickleOffset = 4;
+
+/** An upstream whose responses begin this many times later than usual counts as that much fuller, up to a limit. */
+constexpr double mostSlowness = 4;
+
+/** Reachability comes before load: a worse class is used only when the better ones are empty. */
+int classOf(const UpstreamRow &row, const ChoiceContext &context)
+{
+    if (row.cookie == context.avoided) {
+        return 3;
+    }
+    return static_cast<int>(row.evidence.state);
+}
+
+bool isCandidate(const UpstreamRow &row, const ChoiceContext &context)
+{
+    return row.entry.phase == ListedPhase::ready && !row.isAmbiguous && row.entry.service == context.service;
+}
+
+double flowsAt(const UpstreamRow &row)
+{
+    const auto &load = row.load;
+    return load.activeFlows + load.peerFlows + waitingWeight * (load.waitingRequests + load.peerWaiting);
+}
+
+/** What is usual among the reachable upstreams of a service. */
+struct Usual {
+    double load = 0;
+    double responseMs = 0;
+};
+
+Usual usualOf(const UpstreamDirectory &directory, const ChoiceContext &context)
+{
+    Usual usual;
+    double slots = 0;
+    double flows = 0;
+    double weight = 0;
+    for (const auto &[cookie, row] : directory.rows()) {
+        if (isCandidate(row, context) && row.evidence.state == Reachability::fine) {
+            slots += row.entry.slots;
+            flows += flowsAt(row);
+            usual.responseMs += row.load.responseMs;
+            weight += row.load.responseMs > 0 ? 1 : 0;
+        }
+    }
+    usual.load = slots > 0 ? flows / slots : 0;
+    usual.responseMs = weight > 0 ? usual.responseMs / weight : 0;
+    return usual;
+}
+
+/** A small number in [0, 1) that differs by upstream and draw. */
+double tieBreak(FlowCookie cookie, std::uint64_t random)
+{
+    std::uint64_t value = (random ^ cookie) * 0x9e3779b97f4a7c15U;
+    value ^= value >> 29;
+    return static_cast<double>(value % 1024) / 1024;
+}
+
+} // namespace
+
+double loadOf(const UpstreamRow &row, const ChoiceContext &context, double usualLoad)
+{
+    const bool isWarming = context.now < row.warmUntil;
+    const double slots = std::max<double>(row.entry.slots, 1) * (isWarming ? warmingShare : 1);
+    double load = flowsAt(row) / slots;
+    if (const auto age = context.now - row.learnedAt; age < slowStartTime) {
+        const double missing = 1 - static_cast<double>(age.count()) / static_cast<double>(Microseconds(slowStartTime).count());
+        load = std::max(load, usualLoad * missing) + load * missing;
+    }
+    if (context.now < row.evidence.trickleUntil) {
+        load += trickleOffset;
+    }
+    return load;
+}
+
+UpstreamRow *chooseUpstream(UpstreamDirectory &directory, const ChoiceContext &context)
+{
+    const auto usual = usualOf(directory, context);
+    UpstreamRow *best = nullptr;
+    int bestClass = 0;
+    double bestLoad = 0;
+    for (auto &[cookie, row] : directory.rows()) {
+        if (!isCandidate(row, context)) {
+            continue;
+        }
+        double load = loadOf(row, context, usual.load);
+        if (usual.responseMs > 0) {
+            load *= std::clamp(row.load.responseMs / usual.responseMs, 1.0, mostSlowness);
+        }
+        if (row.entry.dataCentre != context.dataCentre) {
+            load = load * remoteLoadFactor + remoteLoadOffset;
+        }
+        load += (load + 1.0 / row.entry.slots) * tieBreakWidth * tieBreak(cookie, context.random);
+        const int rank = classOf(row, context);
+        if (best == nullptr || rank < bestClass || (rank == bestClass && load < bestLoad)) {
+            best = &row;
+            bestClass = rank;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/state/CookieState.cpp
@@ -0,0 +1,49 @@
+#include "sapphirespan_cookie/state/CookieState.h"
+
+#include <cstdio>
+
+namespace sapphirespan {
+
+CookieState::CookieState(CookieInstanceSettings instanceSettings, const PacketFormat &packetFormat, const Clock &instanceClock)
+    : settings(std::move(instanceSettings))
+    , format(packetFormat)
+    , clock(instanceClock)
+    , now(instanceClock.steadyNow())
+    , startedAt(now)
+    , lastTick(now)
+    , lastSweep(now)
+    , lastPacket(now)
+    , peers({settings.name, settings.incarnation, settings.dataCentre, settings.peer, settings.control})
+    , random(settings.randomSeed)
+{
+}
+
+void announce(CookieState &state, CookieEventKind kind, const FlowEnds &flow, FlowCookie upstream, std::string_view detail)
+{
+    state.signalEvent.emit({kind, flow, upstream, detail});
+}
+
+void announce(CookieState &state, CookieEventKind kind, FlowCookie upstream, std::string_view detail)
+{
+    state.signalEvent.emit({kind, std::nullopt, upstream, detail});
+}
+
+std::string upstreamText(const UpstreamRow &row)
+{
+    std::array<char, 48> id {};
+    std::snprintf(id.data(), id.size(), "%llx@%lld ", static_cast<unsigned long long>(row.entry.id),
+                  static_cast<long long>(row.entry.startedAt));
+    return id.data() + row.address.toText();
+}
+
+bool isLoaded(const CookieState &state)
+{
+    return state.routes.isLoaded() && state.areUpstreamsLoaded;
+}
+
+Milliseconds knowledgeAge(const CookieState &state)
+{
+    return std::chrono::duration_cast<Milliseconds>(state.now - std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "sapphirespan_cookie/flows/FlowBook.h"
+#include "sapphirespan_cookie/instance/CookieInstance.h"
+#include "sapphirespan_cookie/peers/PeerTable.h"
+#include "sapphirespan_cookie/state/CookieOutbox.h"
+
+#include <deque>
+#include <random>
+
+namespace sapphirespan {
+
+/** An entry that this instance learned lately and still passes on. */
+struct RecentChange {
+    UpstreamEntry entry;
+    SteadyTime learnedAt {};
+};
+
+/** Time for which a change is passed on in reports; digests find what is lost beyond it. */
+inline constexpr Milliseconds changeSpreadTime {1000};
+
+/** Changes in one report at most, so that it stays within a datagram. */
+inline constexpr std::size_t mostChangesInReport = 8;
+
+/** All tables of one instance with cookie steering. The systems run over them; nothing else changes them. */
+struct CookieState {
+    CookieState(CookieInstanceSettings instanceSettings, const PacketFormat &packetFormat, const Clock &instanceClock);
+
+    CookieInstanceSettings settings;
+    const PacketFormat &format;
+    const Clock &clock;
+    CookieOutbox outbox;
+    sigc::signal<void(const CookieEvent &)> signalEvent;
+
+    SteadyTime now {}; ///< of the batch or tick in progress
+    SteadyTime startedAt {};
+    SteadyTime lastTick {};
+    SteadyTime lastSweep {};
+    SteadyTime lastPacket {}; ///< from a client
+    bool isLeaving = false;
+
+    UpstreamDirectory upstreams;
+    RouteDirectory routes;
+    bool areUpstreamsLoaded = false;
+    SteadyTime upstreamsConfirmedAt {}; ///< when the store is known to have listed exactly these upstreams
+    SteadyTime routesConfirmedAt {}; ///< when the store is known to have held exactly these routes
+    std::deque<RecentChange> changes;
+
+    FlowBook flows;
+
+    PeerTable peers;
+    std::uint64_t nextReport = 1;
+    SteadyTime lastReport {};
+    bool isReportUrgent = false;
+    std::optional<SteadyTime> storeFailedAt; ///< when a call last failed, until one succeeds
+    bool isWatching = false;
+    SteadyTime watchingSince {};
+
+    std::vector<SnapshotRequest> snapshotRequests;
+    SteadyTime lastSnapshotRequest {};
+    std::size_t nextSeed = 0;
+    std::map<std::string, SteadyTime> differsSince; ///< by peer: since when its upstreams differ from ours
+    std::vector<ProbeRequest> probeRequests;
+
+    std::mt19937_64 random;
+    CookieAccounts accounts;
+};
+
+/** Tells listeners of an event about a flow. @param upstream the cookie of its upstream, or 0 */
+void announce(CookieState &state, CookieEventKind kind, const FlowEnds &flow, FlowCookie upstream, std::string_view detail);
+
+/** Tells listeners of an event about an upstream, or about this instance when the cookie is 0. */
+void announce(CookieState &state, CookieEventKind kind, FlowCookie upstream, std::string_view detail);
+
+/** @returns "id@start address" of one start of an upstream, for logs. */
+std::string upstreamText(const UpstreamRow &row);
+
+/** @returns whether routes and upstreams are known. */
+bool isLoaded(const CookieState &state);
+
+/** @returns the time since the store is known to have held what this instance knows. */
+Milliseconds knowledgeAge(const CookieState &state);
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -0,0 +1,67 @@
+#include "sapphirespan_cookie/systems/CookieJudgeSystem.h"
+
+#include "sapphirespan_cookie/systems/CookiePacketSystem.h"
+
+namespace sapphirespan {
+
+namespace {
+
+/** Time for which departed upstreams stay known beyond the longest life of a flow. */
+constexpr Milliseconds departedMargin {5000};
+
+} // namespace
+
+void judgeUpstreams(CookieState &state)
+{
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        if (judge(row.evidence, state.now)) {
+            announce(state, CookieEventKind::upstreamSuspect, cookie, "flows repeat packets without progress");
+        }
+        if (row.entry.phase != ListedPhase::departed && isProbeDue(row.evidence, state.now)) {
+            row.evidence.isProbing = true;
+            row.evidence.lastProbe = state.now;
+            ++state.accounts.probes;
+            state.probeRequests.push_back({cookie, row.address});
+        }
+    }
+}
+
+void takeProbe(CookieState &state, FlowCookie cookie, ProbeResult result)
+{
+    auto *row = state.upstreams.find(cookie);
+    if (row == nullptr) {
+        return;
+    }
+    const bool wasFine = row->evidence.state == Reachability::fine;
+    if (noteProbe(row->evidence, result == ProbeResult::connected, state.now)) {
+        announce(state, CookieEventKind::upstreamDark, cookie, nameOf(result));
+        resetFlowsOf(state, *row);
+        state.isReportUrgent = true;
+    } else if (!wasFine && row->evidence.state == Reachability::fine) {
+        announce(state, CookieEventKind::upstreamBack, cookie, "a connection attempt succeeded");
+    }
+}
+
+void sweepFlows(CookieState &state)
+{
+    state.lastSweep = state.now;
+    forgetFlows(state.flows, state.routes.configuration().idleTimeout, state.now);
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        row.load.activeFlows = 0;
+        row.load.waitingRequests = 0;
+    }
+    for (const auto &[ends, flow] : state.flows) {
+        const auto silence = state.now - flow.lastSeen;
+        if (flow.phase == FlowPhase::closed || silence > activeFlowTime) {
+            continue;
+        }
+        if (auto *row = state.upstreams.find(flow.cookie); row != nullptr) {
+            ++row->load.activeFlows;
+            row->load.waitingRequests += flow.isWaiting && silence < waitingFlowTime ? 1 : 0;
+        }
+    }
+    state.upstreams.forgetDeparted(state.now - state.settings.flowLifetime - departedMargin);
+    state.peers.forgetSilent(state.now);
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "sapphirespan_cookie/state/CookieState.h"
+
+namespace sapphirespan {
+
+/** Judges the evidence about each upstream and asks for the probes that are due. */
+void judgeUpstreams(CookieState &state);
+
+/** Takes in the outcome of a probe; ends the flows of an upstream that turns out dark. */
+void takeProbe(CookieState &state, FlowCookie cookie, ProbeResult result);
+
+/** Counts flows and waiting requests afresh and forgets what is over. */
+void sweepFlows(CookieState &state);
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -0,0 +1,219 @@
+#include "sapphirespan_cookie/systems/CookiePacketSystem.h"
+
+#include "sapphirespan_cookie/placement/UpstreamChoice.h"
+
+namespace sapphirespan {
+
+namespace {
+
+/** Knowledge older than this may lack a route, so that an unknown address is not rejected for good. */
+constexpr Milliseconds oldKnowledge {2500};
+
+/** Progress so recent shows that an upstream lives and that an unanswered opening was lost on its way. */
+constexpr Milliseconds aliveLately {100};
+
+/** Time after which an upstream that is no longer listed is taken to be gone for good; an entry that expired while the
+    store was away is back within two seconds of its return. */
+constexpr Milliseconds certainlyGoneAfter {4000};
+
+void drop(CookieState &state, std::uint64_t &count, const ClientPacket &packet, const char *reason)
+{
+    ++count;
+    announce(state, CookieEventKind::packetDropped, packet.ends, packet.cookie, reason);
+}
+
+void sendReset(CookieState &state, const FlowEnds &ends, std::uint32_t sequence)
+{
+    const Ipv4Endpoint to {ends.client.address, state.settings.returnPort};
+    state.outbox.addOwned(CookieOutputKind::reset, toEndpoint(to), state.format.reset(ends, sequence));
+}
+
+void rejectOpening(CookieState &state, std::uint64_t &count, const ClientPacket &packet, const char *reason)
+{
+    ++count;
+    announce(state, CookieEventKind::openingRejected, packet.ends, 0, reason);
+    sendReset(state, packet.ends, 0);
+}
+
+void endFlow(CookieState &state, std::uint64_t &count, const FlowEnds &ends, FlowRow &flow, const char *reason)
+{
+    ++count;
+    flow.phase = FlowPhase::closed;
+    flow.isWaiting = false;
+    announce(state, CookieEventKind::flowReset, ends, flow.cookie, reason);
+    sendReset(state, ends, flow.acknowledged);
+}
+
+void forward(CookieState &state, const UpstreamRow &row, std::span<const std::uint8_t> bytes)
+{
+    ++state.accounts.forwarded;
+    state.outbox.addForward(row.address, state.format.forwardHeader(row.entry.id), bytes);
+}
+
+void handleUnroutable(CookieState &state, const ClientPacket &packet)
+{
+    if (!state.routes.isLoaded() || knowledgeAge(state) > oldKnowledge) {
+        drop(state, state.accounts.droppedNoRoute, packet, "no route is known, and routes may be out of date");
+        return;
+    }
+    if (packet.isOpening) {
+        rejectOpening(state, state.accounts.resetNoRoute, packet, "no route");
+    } else if (!packet.isReset) {
+        ++state.accounts.resetNoRoute;
+        announce(state, CookieEventKind::flowReset, packet.ends, packet.cookie, "the route was removed");
+        sendReset(state, packet.ends, packet.acknowledged);
+    }
+}
+
+/** An opening that its upstream left unanswered goes elsewhere, unless the upstream is seen to live. */
+bool shouldMove(const CookieState &state, const UpstreamRow *row)
+{
+    return row == nullptr || row->entry.phase != ListedPhase::ready || state.now - row->evidence.lastProgress > aliveLately;
+}
+
+void place(CookieState &state, const ClientPacket &packet, const Route &route, std::span<std::uint8_t> bytes, FlowCookie avoided)
+{
+    const auto &service = RouteDirectory::drawService(route, state.random());
+    const ChoiceContext context {state.now, service, state.settings.dataCentre, avoided, state.random()};
+    auto *row = chooseUpstream(state.upstreams, context);
+    if (row == nullptr) {
+        rejectOpening(state, state.accounts.resetNoUpstream, packet, "no ready upstream");
+        return;
+    }
+    auto &flow = state.flows[packet.ends];
+    flow = {};
+    flow.cookie = row->cookie;
+    flow.openingSequence = packet.sequence;
+    flow.lastSeen = state.now;
+    ++row->load.activeFlows;
+    ++(avoided != 0 ? state.accounts.moved : state.accounts.placed);
+    announce(state, avoided != 0 ? CookieEventKind::flowMoved : CookieEventKind::flowPlaced, packet.ends, row->cookie,
+             avoided != 0 ? "its opening was not answered" : "");
+    state.format.writeCookie(bytes, row->cookie);
+    forward(state, *row, bytes);
+}
+
+void handleOpening(CookieState &state, const ClientPacket &packet, std::span<std::uint8_t> bytes)
+{
+    const auto *route = state.routes.find(packet.ends.service);
+    if (route == nullptr) {
+        handleUnroutable(state, packet);
+        return;
+    }
+    if (!state.areUpstreamsLoaded) {
+        drop(state, state.accounts.droppedNoRoute, packet, "upstreams are not known yet");
+        return;
+    }
+    if (route->services.empty()) {
+        rejectOpening(state, state.accounts.resetNoUpstream, packet, "the route has no service");
+        return;
+    }
+    const auto known = state.flows.find(packet.ends);
+    if (known == state.flows.end() || known->second.openingSequence != packet.sequence) {
+        place(state, packet, *route, bytes, 0);
+        return;
+    }
+    auto &flow = known->second;
+    auto *row = state.upstreams.find(flow.cookie);
+    if (flow.phase == FlowPhase::opening) {
+        if (flow.repeats++ == 0 && row != nullptr) {
+            noteStall(row->evidence, true);
+        }
+        if (shouldMove(state, row)) {
+            place(state, packet, *route, bytes, flow.cookie);
+            return;
+        }
+    }
+    if (row != nullptr) {
+        flow.lastSeen = state.now;
+        state.format.writeCookie(bytes, row->cookie);
+        forward(state, *row, bytes);
+    }
+}
+
+bool isCertainlyGone(const CookieState &state, const UpstreamRow &row)
+{
+    return row.departedAt && state.now - *row.departedAt > certainlyGoneAfter && knowledgeAge(state) < oldKnowledge;
+}
+
+void noteStep(CookieState &state, UpstreamRow &row, const FlowStep &step)
+{
+    auto &load = row.load;
+    if (step.isProgress && noteProgress(row.evidence, state.now)) {
+        announce(state, CookieEventKind::upstreamBack, row.cookie, "a flow made progress");
+    }
+    if (step.isFirstRepeat) {
+        noteStall(row.evidence, false);
+    }
+    if (step.isNewRequest) {
+        ++load.waitingRequests;
+    }
+    if (step.responseTime) {
+        constexpr double newShare = 0.1; // of the moving average
+        const double sample = static_cast<double>(step.responseTime->count()) / 1000;
+        load.responseMs = load.responseMs > 0 ? load.responseMs * (1 - newShare) + sample * newShare : sample;
+        load.waitingRequests -= load.waitingRequests > 0 ? 1 : 0;
+    }
+}
+
+void handleOpen(CookieState &state, const ClientPacket &packet, std::span<std::uint8_t> bytes)
+{
+    if (state.routes.find(packet.ends.service) == nullptr) {
+        handleUnroutable(state, packet);
+        return;
+    }
+    const auto known = state.flows.find(packet.ends);
+    auto *row = state.upstreams.find(packet.cookie);
+    if (row == nullptr && packet.cookie == 0 && known != state.flows.end()) {
+        row = state.upstreams.find(known->second.cookie);
+    }
+    if (row == nullptr) {
+        drop(state, state.accounts.droppedUnknownCookie, packet, "the cookie names no upstream");
+        return;
+    }
+    if (!state.routes.mayHold(packet.ends.service, row->entry.service)) {
+        drop(state, state.accounts.droppedWrongService, packet, "the upstream serves no service of the route");
+        return;
+    }
+    const bool isKnown = known != state.flows.end() && known->second.cookie == row->cookie;
+    auto &flow = isKnown ? known->second : (state.flows[packet.ends] = adoptedFlow(packet, row->cookie, state.now));
+    if (isKnown) {
+        noteStep(state, *row, advance(flow, packet, state.now));
+    }
+    if (packet.payloadBytes > 0 && row->evidence.state == Reachability::dark) {
+        endFlow(state, state.accounts.resetDark, packet.ends, flow, "its upstream is dark");
+    } else if (packet.payloadBytes > 0 && isCertainlyGone(state, *row)) {
+        endFlow(state, state.accounts.resetGone, packet.ends, flow, "its upstream has departed");
+    } else {
+        forward(state, *row, bytes);
+    }
+}
+
+} // namespace
+
+void handleClientPacket(CookieState &state, std::span<std::uint8_t> bytes)
+{
+    ++state.accounts.packets;
+    state.lastPacket = state.now;
+    const auto packet = state.format.decode(bytes);
+    if (!packet) {
+        ++state.accounts.droppedMalformed;
+        return;
+    }
+    if (packet->isOpening) {
+        handleOpening(state, *packet, bytes);
+    } else {
+        handleOpen(state, *packet, bytes);
+    }
+}
+
+void resetFlowsOf(CookieState &state, const UpstreamRow &row)
+{
+    for (auto &[ends, flow] : state.flows) {
+        if (flow.cookie == row.cookie && flow.phase == FlowPhase::open && state.now - flow.lastSeen < activeFlowTime) {
+            endFlow(state, state.accounts.resetDark, ends, flow, "its upstream is dark");
+        }
+    }
+}
+
+} // namespace sapphirespan
--- /dev/null
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -0,0 +1,201 @@
+#include "sapphirespan_cookie/systems/CookiePeerSystem.h"
+
+#include "sapphirespan_cookie/systems/CookieKnowledgeSystem.h"
+
+#include <algorithm>
+
+namespace sapphirespan {
+
+namespace {
+
+/** Shortest time between two reports, however urgent. */
+constexpr Milliseconds shortestReportGap {40};
+
+/** Time after the start in which instances that know nothing of their peers do not watch yet. */
+constexpr Milliseconds meetingTime {800};
+
+/** Age of knowledge at which an instance asks the store although others should; with two watchers whose waits last
+    a second, knowledge is rarely older than half of this. */
+constexpr Milliseconds oldestUnwatched {2200};
+
+/** Each further rank waits this much longer, so that the whole fleet does not ask at once. */
+constexpr Milliseconds rankStagger {150};
+constexpr std::size_t mostStaggered = 6;
+
+/** Time after which an instance that the store turned away counts itself among those that reach it again. */
+constexpr Milliseconds storeRetry {5000};
+
+/** Time for which a watcher goes on at least, so that small changes of rank do not make it start and stop. */
+constexpr Milliseconds shortestWatch {1500};
+
+constexpr std::size_t mostSightings = 8;
+constexpr std::size_t mostLoads = 64;
+
+/** Age beyond which a peer's finding is no longer passed on. */
+constexpr Milliseconds longestDarkReport {2000};
+
+bool reachesStore(const CookieState &state)
+{
+    return !state.storeFailedAt || state.now - *state.storeFailedAt > storeRetry;
+}
+
+std::uint32_t millisecondsSince(const CookieState &state, SteadyTime time)
+{
+    constexpr std::int64_t longest = 3'600'000;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(std::chrono::duration_cast<Milliseconds>(state.now - time).count(), 0, longest));
+}
+
+PeerReport reportOf(CookieState &state)
+{
+    PeerReport report;
+    report.sender = state.peers.self();
+    report.number = state.nextReport++;
+    report.phase = state.isLeaving ? PeerPhase::leaving : (isLoaded(state) ? PeerPhase::serving : PeerPhase::starting);
+    report.reachesStore = reachesStore(state);
+    report.isWatching = state.isWatching;
+    report.stamp = {state.routes.configuration().revision, state.upstreams.digest()};
+    report.knowledgeAgeMs = millisecondsSince(state, std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
+    for (const auto &[cookie, row] : state.upstreams.rows()) {
+        if ((row.load.activeFlows > 0 || row.load.waitingRequests > 0) && report.loads.size() < mostLoads) {
+            report.loads.push_back({cookie, row.load.activeFlows, row.load.waitingRequests});
+        }
+        const auto since = millisecondsSince(state, row.evidence.stateSince);
+        if (row.evidence.state == Reachability::dark && since < longestDarkReport.count()) {
+            report.dark.push_back({cookie, since});
+        }
+    }
+    while (!state.changes.empty() && state.now - state.changes.front().learnedAt > changeSpreadTime) {
+        state.changes.pop_front();
+    }
+    for (auto change = state.changes.rbegin(); change != state.changes.rend() && report.changes.size() < mostChangesInReport; ++change) {
+        report.changes.push_back(change->entry);
+    }
+    report.sightings = state.peers.sightings(state.now, mostSightings, state.random);
+    return report;
+}
+
+/** Moves what a peer says of its load into the sums that placement uses. */
+void replaceLoads(CookieState &state, PeerRow &peer, const std::vector<LoadReport> &loads)
+{
+    const auto add = [&state](const std::vector<LoadReport> &list, double sign) {
+        for (const auto &load : list) {
+            if (auto *row = state.upstreams.find(load.cookie); row != nullptr) {
+                row->load.peerFlows = std::max(0.0, row->load.peerFlows + sign * load.flows);
+                row->load.peerWaiting = std::max(0.0, row->load.peerWaiting + sign * load.waiting);
+            }
+        }
+    };
+    add(peer.loads, -1);
+    peer.loads = loads;
+    add(peer.loads, 1);
+}
+
+/** Knowledge that equals a peer's is as fresh as the peer's. */
+void takeFreshness(CookieState &state, const PeerReport &report)
+{
+    const auto confirmedAt = state.now - Milliseconds(report.knowledgeAgeMs);
+    if (report.stamp.upstreamsDigest == state.upstreams.digest()) {
+        state.upstreamsConfirmedAt = std::max(state.upstreamsConfirmedAt, confirmedAt);
+    }
+    if (report.stamp.routesRevision == state.routes.configuration().revision) {
+        state.routesConfirmedAt = std::max(state.routesConfirmedAt, confirmedAt);
+    }
+}
+
+void takeDark(CookieState &state, const PeerReport &report)
+{
+    for (const auto &dark : report.dark) {
+        auto *row = state.upstreams.find(dark.cookie);
+        if (row != nullptr && noteDarkAtPeer(row->evidence, Milliseconds(dark.ageMs), state.now)) {
+            announce(state, CookieEventKind::upstreamSuspect, dark.cookie, "a peer found it dark");
+        }
+    }
+}
+
+std::vector<Endpoint> seedPeers(const CookieState &state)
+{
+    std::vector<Endpoint> result;
+    for (const auto &seed : state.settings.seeds) {
+        const Endpoint peer {seed.address, state.settings.peer.port};
+        const bool isKnown = std::any_of(state.peers.rows().begin(), state.peers.rows().end(), [&](const auto &item) {
+            return item.second.card.peer == peer && isAlive(item.second, state.now);
+        });
+        if (peer != state.settings.peer && !isKnown) {
+            result.push_back(peer);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+void takePeerDatagram(CookieState &state, std::span<const std::uint8_t> datagram)
+{
+    const auto report = decodeReport(datagram);
+    if (!report) {
+        return;
+    }
+    for (const auto &sighting : report->sightings) {
+        state.peers.take(sighting, state.now);
+    }
+    const bool isNew = !state.peers.rows().contains(report->sender.name);
+    auto *peer = state.peers.take(*report, state.now);
+    if (peer == nullptr) {
+        return;
+    }
+    if (isNew) {
+        announce(state, CookieEventKind::peerAppeared, 0, report->sender.name);
+        state.isReportUrgent = true;
+    }
+    for (const auto &entry : report->changes) {
+        learnUpstream(state, entry);
+    }
+    replaceLoads(state, *peer, report->loads);
+    takeFreshness(state, *report);
+    takeDark(state, *report);
+    requestSnapshots(state);
+}
+
+void sendReports(CookieState &state)
+{
+    const auto since = state.now - state.lastReport;
+    const bool isUrgent = state.isReportUrgent && since >= shortestReportGap;
+    if (!isUrgent && since < state.settings.heartbeat) {
+        return;
+    }
+    state.lastReport = state.now;
+    state.isReportUrgent = false;
+    auto targets = state.peers.targets(isUrgent, state.now, state.random);
+    const auto seeds = seedPeers(state);
+    targets.insert(targets.end(), seeds.begin(), seeds.end());
+    if (targets.empty()) {
+        return;
+    }
+    const auto bytes = encode(reportOf(state));
+    for (const auto &to : targets) {
+        ++state.accounts.reportsSent;
+        state.accounts.reportBytes += bytes.size();
+        state.outbox.addOwned(CookieOutputKind::report, to, bytes);
+    }
+}
+
+void decideWatching(CookieState &state)
+{
+    bool wants = !isLoaded(state);
+    if (!wants && !state.isLeaving) {
+        const auto rank = std::min(state.peers.rank(state.now), mostStaggered);
+        const bool hasMet = state.now - state.startedAt > meetingTime;
+        const bool isOld = knowledgeAge(state) > oldestUnwatched + rankStagger * rank;
+        const bool goesOn = state.isWatching && state.now - state.watchingSince < shortestWatch;
+        wants = isOld || (hasMet && state.peers.isWatcher(reachesStore(state), state.now)) || goesOn;
+    }
+    if (wants == state.isWatching) {
+        return;
+    }
+    state.isWatching = wants;
+    state.watchingSince = state.now;
+    announce(state, wants ? CookieEventKind::watchStarted : CookieEventKind::watchStopped, 0, "");
+}
+
+} // namespace sapphirespan
--- a/modules/sapphirespan_fleet/messages/PeerMessages.cpp
+++ b/modules/sapphirespan_fleet/messages/PeerMessages.cpp
@@ -1,6 +1,6 @@
 #include "sapphirespan_fleet/messages/PeerMessages.h"
 
-#include <msgpack.hpp>
+#include "sapphirespan_base/codec/MsgpackReading.h"
 
 #include <algorithm>
 #include <cstring>
@@ -10,82 +10,10 @@
 
 namespace {
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
 constexpr std::uint32_t messageFields = 4; // sender, incarnation, number, body; the kind leads the body
 constexpr std::size_t placedBytes = 17;
 constexpr std::size_t endedBytes = 13;
 
-/** Raised inside this file only, when bytes do not have the shape of a message. */
-struct BadMessage {
-};
-
-template<typename Number>
-Number numberFrom(const msgpack::object &object)
-{
-    if (object.type != msgpack::type::POSITIVE_INTEGER || object.via.u64 > std::numeric_limits<Number>::max()) {
-        throw BadMessage {};
-    }
-    return static_cast<Number>(object.via.u64);
-}
-
-std::int64_t signedFrom(const msgpack::object &object)
-{
-    if (object.type == msgpack::type::NEGATIVE_INTEGER) {
-        return object.via.i64;
-    }
-    return static_cast<std::int64_t>(numberFrom<std::uint64_t>(object) & std::numeric_limits<std::int64_t>::max());
-}
-
-std::string textFrom(const msgpack::object &object)
-{
-    if (object.type != msgpack::type::STR) {
-        throw BadMessage {};
-    }
-    return {object.via.str.ptr, object.via.str.size};
-}
-
-std::span<const msgpack::object> listFrom(const msgpack::object &object)
-{
-    if (object.type != msgpack::type::ARRAY) {
-        throw BadMessage {};
-    }
-    return {object.via.array.ptr, object.via.array.size};
-}
-
-std::span<const msgpack::object> listFrom(const msgpack::object &object, std::size_t size)
-{
-    const auto list = listFrom(object);
-    if (list.size() != size) {
-        throw BadMessage {};
-    }
-    return list;
-}
-
-template<typename Enum>
-Enum enumFrom(const msgpack::object &object)
-{
-    const auto value = numberFrom<std::uint8_t>(object);
-    if (value >= enumCount<Enum>) {
-        throw BadMessage {};
-    }
-    return static_cast<Enum>(value);
-}
-
-Endpoint endpointFrom(const msgpack::object &object)
-{
-    const auto endpoint = Endpoint::parse(textFrom(object));
-    if (!endpoint) {
-        throw BadMessage {};
-    }
-    return *endpoint;
-}
-
-void packHeader(Packer &packer, std::size_t fields)
-{
-    packer.pack_array(static_cast<std::uint32_t>(fields));
-}
-
 void packName(Packer &packer, const UpstreamName &name)
 {
     packer.pack(name.service);
--- /dev/null
+++ b/modules/sapphirespan_net/probe/ConnectionProber.cpp
@@ -0,0 +1,79 @@
+#include "sapphirespan_net/probe/ConnectionProber.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstring>
+
+namespace sapphirespan {
+
+struct ConnectionProber::Attempt {
+    ConnectionProber *prober = nullptr;
+    bufferevent *connection = nullptr;
+    EventHandle deadline;
+    EventHandle cleanup;
+    Callback callback;
+    bool isOver = false;
+
+    Attempt() = default;
+    ~Attempt()
+    {
+        if (connection != nullptr) {
+            bufferevent_free(connection);
+        }
+    }
+    Attempt(const Attempt &) = delete;
+    Attempt &operator=(const Attempt &) = delete;
+};
+
+ConnectionProber::ConnectionProber(EventLoop &loop)
+    : m_loop(loop)
+{
+}
+
+ConnectionProber::~ConnectionProber() = default;
+
+void ConnectionProber::probe(const Endpoint &server, Milliseconds deadline, Callback callback)
+{
+    auto *attempt = m_attempts.emplace_back(std::make_unique<Attempt>()).get();
+    attempt->prober = this;
+    attempt->callback = std::move(callback);
+    attempt->deadline = m_loop.after(deadline, [this, attempt] { finish(attempt, ConnectionOutcome::silent); });
+    attempt->connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        attempt->connection, nullptr, nullptr,
+        [](bufferevent *, short what, void *context) {
+            auto *mine = static_cast<Attempt *>(context);
+            const bool isConnected = (what & BEV_EVENT_CONNECTED) != 0;
+            mine->prober->finish(mine, isConnected ? ConnectionOutcome::connected : ConnectionOutcome::refused);
+        },
+        attempt);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    std::memcpy(&address.sin_addr, server.address.bytes.data(), IpAddress::sizeV4);
+    if (bufferevent_socket_connect(attempt->connection, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
+        finish(attempt, ConnectionOutcome::refused);
+    }
+}
+
+/** The connection must not be freed inside its own callback, so that happens from the loop. */
+void ConnectionProber::finish(Attempt *attempt, ConnectionOutcome outcome)
+{
+    if (attempt->isOver) {
+        return;
+    }
+    attempt->isOver = true;
+    attempt->deadline = {};
+    attempt->cleanup = m_loop.after(Milliseconds(0), [this, attempt, outcome] {
+        const auto callback = std::move(attempt->callback);
+        const auto owned = std::move(attempt->cleanup);
+        m_attempts.remove_if([attempt](const auto &item) { return item.get() == attempt; });
+        callback(outcome);
+    });
+}
+
+} // namespace sapphirespan
--- a/modules/sapphirespan_net/sapphirespan_net.h
+++ b/modules/sapphirespan_net/sapphirespan_net.h
@@ -9,6 +9,7 @@
 #include "sapphirespan_net/http/HttpClient.h"
 #include "sapphirespan_net/http/HttpServer.h"
 #include "sapphirespan_net/loop/EventLoop.h"
+#include "sapphirespan_net/probe/ConnectionProber.h"
 #include "sapphirespan_net/rpc/JsonRpcCaller.h"
 #include "sapphirespan_net/rpc/JsonRpcServerConnector.h"
 #include "sapphirespan_net/udp/UdpSocket.h"
--- a/modules/sapphirespan_net/udp/UdpSocket.cpp
+++ b/modules/sapphirespan_net/udp/UdpSocket.cpp
@@ -88,7 +88,7 @@
 UdpSocket::UdpSocket(int descriptor, Endpoint local)
     : m_descriptor(descriptor)
     , m_local(local)
-    , m_buffers(std::make_unique<Buffers>())
+    , m_buffers(std::make_unique_for_overwrite<Buffers>())
 {
 }
 
--- a/modules/sapphirespan_net/udp/UdpSocket.h
+++ b/modules/sapphirespan_net/udp/UdpSocket.h
@@ -17,8 +17,8 @@
 class UdpSocket
 {
 public:
-    /** Called for each datagram; the bytes are valid until the batch ends. */
-    using DatagramHandler = std::function<void(const Endpoint &from, std::span<const std::uint8_t> datagram)>;
+    /** Called for each datagram; the bytes are valid until the batch ends, and may be changed. */
+    using DatagramHandler = std::function<void(const Endpoint &from, std::span<std::uint8_t> datagram)>;
 
     /** Binds a socket. @returns nothing, with the reason, when the endpoint cannot be bound */
     static std::unique_ptr<UdpSocket> bind(const Endpoint &endpoint, LastReason &reason);
