--- a/apps/sapphirespand/main.cpp
+++ b/apps/sapphirespand/main.cpp
@@ -3,11 +3,13 @@
 
     Exit codes: 0 after a complete hand-over or a clean check, 1 findings or a hand-over cut short, 2 usage.
 */
+#include "BucketSteering.h"
 #include "CookieDaemon.h"
-#include "Daemon.h"
+#include "RunDaemon.h"
 
 #include "platform/Adapter.h"
 
+#include <dlfcn.h>
 #include <gflags/gflags.h>
 
 #include <cstdio>
@@ -18,48 +20,27 @@
 
 namespace {
 
-constexpr int exitFindings = 1;
 constexpr int exitUsage = 2;
 
-void printFindings(const sapphirespan::FindingList &findings)
+/** Bucket steering is loaded on demand: an instance with cookie steering starts without its libraries. */
+int runWithBuckets(const std::string &path, const std::string &text)
 {
-    for (const auto &finding : findings.sorted()) {
-        std::fprintf(stderr, "%s\n", sapphirespan::toText(finding).c_str());
+    void *library = dlopen(sapphirespan::bucketSteeringLibrary, RTLD_NOW | RTLD_LOCAL);
+    auto *run = library != nullptr ? reinterpret_cast<sapphirespan::RunBucketSteering *>(dlsym(library, sapphirespan::bucketSteeringEntry))
+                                   : nullptr;
+    if (run == nullptr) {
+        std::fprintf(stderr, "cannot load bucket steering: %s\n", dlerror());
+        return sapphirespan::exitFindings;
     }
-}
-
-template<typename Daemon>
-int runDaemon(Daemon &daemon)
-{
-    sapphirespan::LastReason reason;
-    if (!daemon.start(reason)) {
-        std::fprintf(stderr, "%s\n", reason.text().c_str());
-        return exitFindings;
-    }
-    return daemon.run();
-}
-
-int runWithBuckets(const std::string &path, const std::string &text, sapphirespan::FindingList &findings)
-{
-    const auto settings = sapphirespan::parseInstanceSettings(path, text, findings);
-    const auto keys = settings ? sapphirespan::loadKeyRing(settings->keyFile, findings) : std::nullopt;
-    printFindings(findings);
-    if (!settings || !keys) {
-        return exitFindings;
-    }
-    if (FLAGS_check_settings) {
-        return 0;
-    }
-    sapphirespan::Daemon daemon(*settings, *keys);
-    return runDaemon(daemon);
+    return run(path.c_str(), text.c_str(), FLAGS_check_settings);
 }
 
 int runWithCookies(const std::string &path, const std::string &text, sapphirespan::FindingList &findings)
 {
     const auto settings = sapphirespan::parseCookieSettings(path, text, findings);
-    printFindings(findings);
+    sapphirespan::printFindings(findings);
     if (!settings) {
-        return exitFindings;
+        return sapphirespan::exitFindings;
     }
     if (FLAGS_check_settings) {
         return 0;
@@ -68,7 +49,7 @@
     sapphirespan::CookieDaemon daemon(*settings, path, format, [](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
         return std::make_unique<sapphirespan::platform::StoreWatcher>(loop, store, std::random_device()());
     });
-    return runDaemon(daemon);
+    return sapphirespan::runDaemon(daemon);
 }
 
 } // namespace
@@ -85,8 +66,8 @@
     sapphirespan::FindingList findings;
     const auto text = sapphirespan::readTextFile(path, findings);
     if (!text) {
-        printFindings(findings);
-        return exitFindings;
+        sapphirespan::printFindings(findings);
+        return sapphirespan::exitFindings;
     }
-    return sapphirespan::asksForCookieSteering(*text) ? runWithCookies(path, *text, findings) : runWithBuckets(path, *text, findings);
+    return sapphirespan::asksForCookieSteering(*text) ? runWithCookies(path, *text, findings) : runWithBuckets(path, *text);
 }
