Put upstreams in doubt whose openings are not confirmed

Ruled out: the store (its list is right 1.2 to 3.6 s later), stalled data (a client that was reset repeats nothing). An opening that is not confirmed within 40 ms now ranks its upstream behind the others, 80 ms make it suspect, and a refused connection attempt is final.

--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -34,6 +34,7 @@
     evidence.stalledFlows = 0;
     evidence.stalledOpenings = 0;
     evidence.failedProbes = 0;
+    evidence.unansweredSince.reset();
 }
 
 } // namespace
@@ -47,6 +48,18 @@
     return isNews;
 }
 
+void noteOpening(UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (!evidence.unansweredSince) {
+        evidence.unansweredSince = now;
+    }
+}
+
+bool isInDoubt(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    return evidence.unansweredSince && now - *evidence.unansweredSince > doubtAfter;
+}
+
 void noteStall(UpstreamEvidence &evidence, bool isOpening)
 {
     auto &count = isOpening ? evidence.stalledOpenings : evidence.stalledFlows;
@@ -56,17 +69,19 @@
 bool judge(UpstreamEvidence &evidence, SteadyTime now)
 {
     const int stalled = evidence.stalledFlows + evidence.stalledOpenings;
-    if (evidence.state != Reachability::fine || stalled < stalledToSuspect || now - evidence.lastProgress < suspectAfter) {
+    const bool isStalled = stalled >= stalledToSuspect && now - evidence.lastProgress >= suspectAfter;
+    const bool isUnanswered = evidence.unansweredSince && now - *evidence.unansweredSince >= suspectOpeningAfter;
+    if (evidence.state != Reachability::fine || (!isStalled && !isUnanswered)) {
         return false;
     }
     become(evidence, Reachability::suspect, now);
     return true;
 }
 
-bool noteProbe(UpstreamEvidence &evidence, bool isAnswered, SteadyTime now)
+bool noteProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now)
 {
     evidence.isProbing = false;
-    if (isAnswered) {
+    if (result == ProbeResult::connected) {
         clear(evidence, now);
         evidence.darkRounds = 0;
         return false;
@@ -76,7 +91,7 @@
     }
     ++evidence.failedProbes;
     const int needed = evidence.stalledFlows >= stalledToTrustOneProbe ? 1 : 2;
-    if (evidence.state == Reachability::suspect && evidence.failedProbes < needed) {
+    if (evidence.state == Reachability::suspect && result != ProbeResult::refused && evidence.failedProbes < needed) {
         return false;
     }
     const bool isNews = evidence.state != Reachability::dark;
@@ -108,6 +123,7 @@
     evidence.lastProgress = now;
     evidence.stalledFlows = 0;
     evidence.stalledOpenings = 0;
+    evidence.unansweredSince.reset();
     if (evidence.state == Reachability::suspect) {
         become(evidence, Reachability::fine, now);
     }
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -38,6 +38,7 @@
     SteadyTime darkUntil {}; ///< when a dark upstream is tried again
     SteadyTime trickleUntil {}; ///< until when it takes few new flows after it was dark or suspect
     SteadyTime lastProbe {};
+    std::optional<SteadyTime> unansweredSince; ///< when the first opening was forwarded since the last progress
     std::uint16_t stalledFlows = 0; ///< flows that repeated data since the last progress
     std::uint16_t stalledOpenings = 0; ///< openings that were repeated since the last progress
     std::uint8_t darkRounds = 0; ///< how often in a row it was found dark
@@ -49,6 +50,14 @@
     comes after 200 ms. */
 inline constexpr Milliseconds suspectAfter {150};
 
+/** Time after which an opening that its client has not confirmed puts its upstream in doubt; several times the round trip
+    from a client by way of this instance. A client whose opening was refused sends nothing more, so this is all that an
+    instance sees of an upstream that has crashed. */
+inline constexpr Milliseconds doubtAfter {40};
+
+/** Time after which such an upstream is probed. */
+inline constexpr Milliseconds suspectOpeningAfter {80};
+
 /** Stalled flows, counting an unanswered opening as one, that make an upstream suspect. */
 inline constexpr int stalledToSuspect = 2;
 
@@ -62,6 +71,12 @@
 /** Notes that some flow made progress. @returns whether the upstream was suspect or dark before */
 bool noteProgress(UpstreamEvidence &evidence, SteadyTime now);
 
+/** Notes that an opening was forwarded. */
+void noteOpening(UpstreamEvidence &evidence, SteadyTime now);
+
+/** @returns whether an opening has been unanswered for long enough to place no more flows while others can take them. */
+bool isInDoubt(const UpstreamEvidence &evidence, SteadyTime now);
+
 /** Notes that a flow repeated data (for the first time since it made progress), or that an opening was repeated. */
 void noteStall(UpstreamEvidence &evidence, bool isOpening);
 
@@ -71,8 +86,21 @@
 /** Stalled flows from which on one failed connection attempt is enough; with fewer, its packet may just have been lost. */
 inline constexpr int stalledToTrustOneProbe = 3;
 
+/** How an upstream's host answered a connection attempt. */
+enum class ProbeResult : std::uint8_t {
+    connected,
+    refused, ///< its host answers, but nothing listens there
+    silent,
+    count
+};
+
+template<>
+struct NameTable<ProbeResult> {
+    static constexpr std::array<std::string_view, enumCount<ProbeResult>> names {"connected", "refused", "silent"};
+};
+
 /** Notes the outcome of a connection attempt. @returns whether the upstream became dark just now */
-bool noteProbe(UpstreamEvidence &evidence, bool isAnswered, SteadyTime now);
+bool noteProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now);
 
 /** Takes a peer's finding that an upstream is dark as a strong suspicion, unless progress was seen here since. Flows are
     ended only on what this instance finds itself: the peer may be the one that is cut off.
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -107,19 +107,6 @@
     static constexpr std::array<std::string_view, enumCount<KnowledgePart>> names {"routes", "upstreams"};
 };
 
-/** Outcome of a connection attempt to an upstream. */
-enum class ProbeResult : std::uint8_t {
-    connected,
-    refused, ///< its host answers, but nothing listens there
-    silent,
-    count
-};
-
-template<>
-struct NameTable<ProbeResult> {
-    static constexpr std::array<std::string_view, enumCount<ProbeResult>> names {"connected", "refused", "silent"};
-};
-
 /** Asks the driver to try a connection to an upstream. */
 struct ProbeRequest {
     FlowCookie cookie = 0;
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -19,12 +19,29 @@
 constexpr double mostSlowness = 4;
 
 /** Reachability comes before load: a worse class is used only when the better ones are empty. */
-int classOf(const UpstreamRow &row, const ChoiceContext &context)
+enum class ChoiceClass : std::uint8_t {
+    fine,
+    inDoubt,
+    suspect,
+    dark,
+    avoided,
+};
+
+ChoiceClass classOf(const UpstreamRow &row, const ChoiceContext &context)
 {
     if (row.cookie == context.avoided) {
-        return 3;
+        return ChoiceClass::avoided;
+    }
+    switch (row.evidence.state) {
+    case Reachability::suspect:
+        return ChoiceClass::suspect;
+    case Reachability::dark:
+        return ChoiceClass::dark;
+    case Reachability::fine:
+    case Reachability::count:
+        break;
     }
-    return static_cast<int>(row.evidence.state);
+    return isInDoubt(row.evidence, context.now) ? ChoiceClass::inDoubt : ChoiceClass::fine;
 }
 
 bool isCandidate(const UpstreamRow &row, const ChoiceContext &context)
@@ -92,7 +109,7 @@
 {
     const auto usual = usualOf(directory, context);
     UpstreamRow *best = nullptr;
-    int bestClass = 0;
+    auto bestClass = ChoiceClass::fine;
     double bestLoad = 0;
     for (auto &[cookie, row] : directory.rows()) {
         if (!isCandidate(row, context)) {
@@ -106,7 +123,7 @@
             load = load * remoteLoadFactor + remoteLoadOffset;
         }
         load += (load + 1.0 / row.entry.slots) * tieBreakWidth * tieBreak(cookie, context.random);
-        const int rank = classOf(row, context);
+        const auto rank = classOf(row, context);
         if (best == nullptr || rank < bestClass || (rank == bestClass && load < bestLoad)) {
             best = &row;
             bestClass = rank;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -33,7 +33,7 @@
         return;
     }
     const bool wasFine = row->evidence.state == Reachability::fine;
-    if (noteProbe(row->evidence, result == ProbeResult::connected, state.now)) {
+    if (noteProbe(row->evidence, result, state.now)) {
         announce(state, CookieEventKind::upstreamDark, cookie, nameOf(result));
         resetFlowsOf(state, *row);
         state.isReportUrgent = true;
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -86,6 +86,7 @@
     flow.openingSequence = packet.sequence;
     flow.lastSeen = state.now;
     ++row->load.activeFlows;
+    noteOpening(row->evidence, state.now);
     ++(avoided != 0 ? state.accounts.moved : state.accounts.placed);
     announce(state, avoided != 0 ? CookieEventKind::flowMoved : CookieEventKind::flowPlaced, packet.ends, row->cookie,
              avoided != 0 ? "its opening was not answered" : "");
