Test the loads a fleet has to bear on a model of it, and every decoder with hostile bytes

Found by the tests before they passed: an earlier start of an id that is written again did not end the later one (the order of news mattered); five bytes could claim 2 GB in a peer's message; a new upstream took all 100 of 100 choices in its first 50 ms.

--- a/modules/sapphirespan_base/codec/MsgpackReading.h
+++ b/modules/sapphirespan_base/codec/MsgpackReading.h
@@ -82,6 +82,19 @@
     return *endpoint;
 }
 
+/** Most values of one list, bytes of one text, and lists within lists; what claims more is no message. Without such a
+    limit a few bytes could claim gigabytes. */
+inline constexpr std::size_t longestList = 1 << 16;
+inline constexpr std::size_t longestText = 1 << 20;
+inline constexpr std::size_t deepestList = 8;
+
+/** @returns the one value that the bytes hold. @throws msgpack::unpack_error for anything else */
+inline msgpack::object_handle unpackBounded(std::span<const std::uint8_t> bytes)
+{
+    const msgpack::unpack_limit limit(longestList, 0, longestText, longestText, 0, deepestList);
+    return msgpack::unpack(reinterpret_cast<const char *>(bytes.data()), bytes.size(), nullptr, nullptr, limit);
+}
+
 /** Begins a list of so many values. */
 inline void packHeader(Packer &packer, std::size_t fields)
 {
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
@@ -67,7 +67,7 @@
 {
     const auto cookie = cookieOf(entry.id, entry.startedAt);
     auto *latest = latestOf(entry.id);
-    const bool isNewer = latest == nullptr || entry.revision > latest->entry.revision;
+    const bool isNewer = latest == nullptr || latest->cookie == cookie || entry.revision > latest->entry.revision;
     if (const auto found = m_rows.find(cookie); found != m_rows.end()) {
         auto &row = found->second;
         if (row.entry.id != entry.id || row.entry.startedAt != entry.startedAt) {
@@ -78,28 +78,24 @@
         if (entry.revision < row.entry.revision || (entry.revision == row.entry.revision && !isDeparture)) {
             return false;
         }
-        store(row, entry, now);
-        if (isNewer) {
-            m_latest[entry.id] = cookie;
-        }
-        return true;
+    } else {
+        auto &row = m_rows[cookie];
+        row.cookie = cookie;
+        row.learnedAt = now;
+        row.evidence.lastProgress = now;
     }
-    auto added = entry;
+    auto merged = entry;
     if (!isNewer) {
-        added.phase = ListedPhase::departed; // an earlier start of an id that has started again
-    } else if (latest != nullptr && latest->entry.phase != ListedPhase::departed) {
-        auto earlier = latest->entry;
-        earlier.phase = ListedPhase::departed;
-        store(*latest, earlier, now);
-    }
-    auto &row = m_rows[cookie];
-    row.cookie = cookie;
-    row.learnedAt = now;
-    row.evidence.lastProgress = now;
-    store(row, added, now);
-    if (isNewer) {
+        merged.phase = ListedPhase::departed; // an earlier start of an id that has started again
+    } else {
+        if (latest != nullptr && latest->cookie != cookie && latest->entry.phase != ListedPhase::departed) {
+            auto earlier = latest->entry;
+            earlier.phase = ListedPhase::departed;
+            store(*latest, earlier, now);
+        }
         m_latest[entry.id] = cookie;
     }
+    store(m_rows[cookie], merged, now);
     return true;
 }
 
--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -179,7 +179,7 @@
     -> std::optional<decltype(read(std::span<const msgpack::object>()))>
 {
     try {
-        const auto handle = msgpack::unpack(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+        const auto handle = unpackBounded(bytes);
         const auto list = listFrom(handle.get(), fields);
         if (numberFrom<std::uint32_t>(list[0]) != mark) {
             return std::nullopt;
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -15,6 +15,9 @@
 /** Flows per slot that are added for an upstream which was suspect or dark a moment ago. */
 constexpr double trickleOffset = 4;
 
+/** A starting upstream counts as this much fuller than the others at first, so that it is not everybody's choice. */
+constexpr double slowStartCaution = 1.1;
+
 /** An upstream whose responses begin this many times later than usual counts as that much fuller, up to a limit. */
 constexpr double mostSlowness = 4;
 
@@ -68,7 +71,8 @@
     double flows = 0;
     double weight = 0;
     for (const auto &[cookie, row] : directory.rows()) {
-        if (isCandidate(row, context) && row.evidence.state == Reachability::fine) {
+        const bool isStarting = context.now - row.learnedAt < slowStartTime;
+        if (isCandidate(row, context) && row.evidence.state == Reachability::fine && !isStarting) {
             slots += row.entry.slots;
             flows += flowsAt(row);
             usual.responseMs += row.load.responseMs;
@@ -97,7 +101,7 @@
     double load = flowsAt(row) / slots;
     if (const auto age = context.now - row.learnedAt; age < slowStartTime) {
         const double missing = 1 - static_cast<double>(age.count()) / static_cast<double>(Microseconds(slowStartTime).count());
-        load = std::max(load, usualLoad * missing) + load * missing;
+        load = std::max(load, usualLoad * missing * slowStartCaution) + load * missing;
     }
     if (context.now < row.evidence.trickleUntil) {
         load += trickleOffset;
--- /dev/null
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -0,0 +1,384 @@
+#include "sapphirespan_cookie/sapphirespan_cookie.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace sapphirespan;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime start {1h};
+
+UpstreamEntry entryOf(UpstreamId id, std::int64_t startedAt, std::uint64_t revision, ListedPhase phase = ListedPhase::ready)
+{
+    UpstreamEntry entry;
+    entry.id = id;
+    entry.startedAt = startedAt;
+    entry.revision = revision;
+    entry.service = "orders";
+    entry.address = {0x0a000000 + static_cast<std::uint32_t>(id), 8080};
+    entry.dataCentre = "a";
+    entry.slots = 2;
+    entry.phase = phase;
+    return entry;
+}
+
+ClientPacket dataPacket(std::uint32_t sequence, std::uint32_t acknowledged, std::uint16_t bytes)
+{
+    ClientPacket packet;
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.payloadBytes = bytes;
+    return packet;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Cookies)
+
+BOOST_AUTO_TEST_CASE(namesOneStartAndIsNeverZero)
+{
+    BOOST_TEST(cookieOf(1, 100) != cookieOf(1, 101));
+    BOOST_TEST(cookieOf(1, 100) != cookieOf(2, 100));
+    BOOST_TEST(cookieOf(1, 100) == cookieOf(1, 100));
+    BOOST_TEST(rc::check("never 0", [](UpstreamId id, std::int64_t startedAt) { RC_ASSERT(cookieOf(id, startedAt) != 0U); }));
+}
+
+/** At the target of 17,000 upstreams, about 0.03 pairs share a cookie; those that do are told, never guessed. */
+BOOST_AUTO_TEST_CASE(holdsAtTheTargetSize)
+{
+    std::set<FlowCookie> cookies;
+    constexpr std::size_t upstreams = 17000;
+    for (std::size_t id = 1; id <= upstreams; ++id) {
+        cookies.insert(cookieOf(id * 7919, 1760000000000 + static_cast<std::int64_t>(id)));
+    }
+    BOOST_TEST(cookies.size() >= upstreams - 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Directory)
+
+BOOST_AUTO_TEST_CASE(aNewStartOfAnIdEndsTheEarlierOne)
+{
+    UpstreamDirectory directory;
+    BOOST_TEST(directory.merge(entryOf(1, 100, 5), start));
+    BOOST_TEST(directory.merge(entryOf(1, 200, 9), start));
+    BOOST_TEST((directory.find(cookieOf(1, 100))->entry.phase == ListedPhase::departed));
+    BOOST_TEST((directory.find(cookieOf(1, 200))->entry.phase == ListedPhase::ready));
+    BOOST_TEST(directory.listedCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryThatLapsedAndCameBackIsTheSameStart)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 5), start);
+    BOOST_TEST(directory.depart(1, 5, start + 1s).has_value());
+    BOOST_TEST(directory.find(cookieOf(1, 100))->departedAt.has_value());
+    BOOST_TEST(directory.merge(entryOf(1, 100, 8), start + 2s));
+    BOOST_TEST(!directory.find(cookieOf(1, 100))->departedAt.has_value());
+    BOOST_TEST(directory.rows().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNewerThanAListIsNotEndedByIt)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 5), start);
+    directory.merge(entryOf(2, 100, 20), start);
+    const auto changed = directory.replaceAll({10, {}, {}}, start);
+    BOOST_TEST(changed.size() == 1);
+    BOOST_TEST(directory.listedCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anUnreadableEntryKeepsItsFlowsAndTakesNoNewOne)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 5), start);
+    BOOST_TEST(directory.markUnreadable(1, 6, start).has_value());
+    const std::string service = "orders";
+    const std::string dataCentre = "a";
+    BOOST_TEST(chooseUpstream(directory, {start, service, dataCentre, 0, 1}) == nullptr);
+    BOOST_TEST(directory.find(cookieOf(1, 100)) != nullptr);
+    BOOST_TEST(!directory.markUnreadable(7, 6, start).has_value());
+}
+
+/** Entries of any order, from any mix of store and peers, end in the same state. */
+BOOST_AUTO_TEST_CASE(theOrderOfNewsDoesNotMatter)
+{
+    const bool holds = rc::check("merges commute", [] {
+        const auto count = *rc::gen::inRange(1, 12);
+        std::vector<UpstreamEntry> entries;
+        for (int revision = 1; revision <= count; ++revision) {
+            const auto id = *rc::gen::inRange<UpstreamId>(1, 4);
+            const auto startedAt = *rc::gen::inRange<std::int64_t>(1, 3);
+            const auto phase = *rc::gen::element(ListedPhase::ready, ListedPhase::draining, ListedPhase::departed);
+            entries.push_back(entryOf(id, startedAt, static_cast<std::uint64_t>(revision), phase));
+        }
+        UpstreamDirectory forward;
+        UpstreamDirectory backward;
+        for (const auto &entry : entries) {
+            forward.merge(entry, start);
+        }
+        for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+            backward.merge(*entry, start);
+        }
+        RC_ASSERT(forward.digest() == backward.digest());
+        RC_ASSERT(forward.listedCount() == backward.listedCount());
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_CASE(forgetsDepartedStartsAfterTheirFlows)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 5), start);
+    directory.depart(1, 5, start);
+    directory.forgetDeparted(start - 1s);
+    BOOST_TEST(directory.rows().size() == 1);
+    directory.forgetDeparted(start + 1s);
+    BOOST_TEST(directory.rows().empty());
+    BOOST_TEST(directory.merge(entryOf(1, 300, 9), start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Routes)
+
+BOOST_AUTO_TEST_CASE(neverGoBackAndRememberEarlierServices)
+{
+    const Ipv4Endpoint address {0xc6120001, 443};
+    RouteDirectory routes;
+    BOOST_TEST(routes.apply({5, 1, 15s, {{address, {{"old", 1}}}}}));
+    BOOST_TEST(routes.apply({9, 2, 15s, {{address, {{"new", 1}}}}}));
+    BOOST_TEST(!routes.apply({7, 3, 15s, {{address, {{"old", 1}}}}}));
+    BOOST_TEST(routes.find(address)->services.front().service == "new");
+    BOOST_TEST(routes.mayHold(address, "old"));
+    BOOST_TEST(routes.mayHold(address, "new"));
+    BOOST_TEST(!routes.mayHold(address, "other"));
+    BOOST_TEST(routes.apply({11, 4, 15s, {}}));
+    BOOST_TEST(!routes.mayHold(address, "new"));
+}
+
+BOOST_AUTO_TEST_CASE(drawServicesByWeight)
+{
+    const Route route {{1, 1}, {{"x", 90}, {"y", 10}}};
+    BOOST_TEST(RouteDirectory::drawService(route, 89) == "x");
+    BOOST_TEST(RouteDirectory::drawService(route, 90) == "y");
+    const Route unweighted {{1, 1}, {{"x", 0}, {"y", 0}}};
+    BOOST_TEST(RouteDirectory::drawService(unweighted, 7) == "x");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Flows)
+
+BOOST_AUTO_TEST_CASE(stepsTellRequestsProgressAndRepeats)
+{
+    FlowRow flow;
+    flow.phase = FlowPhase::opening;
+    BOOST_TEST(advance(flow, dataPacket(100, 500, 0), start).isProgress);
+    BOOST_TEST(advance(flow, dataPacket(100, 500, 50), start + 1ms).isNewRequest);
+    const auto repeat = advance(flow, dataPacket(100, 500, 50), start + 200ms);
+    BOOST_TEST(repeat.isFirstRepeat);
+    BOOST_TEST(!advance(flow, dataPacket(100, 500, 50), start + 600ms).isFirstRepeat);
+    const auto answered = advance(flow, dataPacket(150, 900, 0), start + 700ms);
+    BOOST_TEST(answered.isProgress);
+    BOOST_TEST((answered.responseTime == std::optional<Microseconds>(699ms)));
+    BOOST_TEST(!flow.isWaiting);
+}
+
+BOOST_AUTO_TEST_CASE(sequenceNumbersWrap)
+{
+    BOOST_TEST(isAfter(5, 0xfffffff0U));
+    BOOST_TEST(!isAfter(0xfffffff0U, 5));
+    FlowRow flow = adoptedFlow(dataPacket(0xfffffff0U, 0xfffffffeU, 8), 7, start);
+    BOOST_TEST(advance(flow, dataPacket(0xfffffff8U, 3, 20), start).isProgress);
+    BOOST_TEST(flow.nextSequence == 12);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Evidence)
+
+BOOST_AUTO_TEST_CASE(stalledFlowsMakeSuspectAndOneProbeIsNotEnoughForFew)
+{
+    UpstreamEvidence evidence;
+    evidence.lastProgress = start;
+    noteStall(evidence, false);
+    BOOST_TEST(!judge(evidence, start + 1s));
+    noteStall(evidence, false);
+    BOOST_TEST(judge(evidence, start + 1s));
+    BOOST_TEST(isProbeDue(evidence, start + 1s));
+    BOOST_TEST(!noteProbe(evidence, ProbeResult::silent, start + 1100ms));
+    BOOST_TEST(noteProbe(evidence, ProbeResult::silent, start + 1200ms));
+    BOOST_TEST((evidence.state == Reachability::dark));
+    BOOST_TEST(noteProgress(evidence, start + 1300ms));
+    BOOST_TEST((evidence.state == Reachability::fine));
+}
+
+BOOST_AUTO_TEST_CASE(progressOnOneFlowOutweighsStallsOnOthers)
+{
+    UpstreamEvidence evidence;
+    evidence.lastProgress = start;
+    noteStall(evidence, false);
+    noteStall(evidence, false);
+    noteProgress(evidence, start + 10ms);
+    BOOST_TEST(!judge(evidence, start + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(anUnconfirmedOpeningPutsInDoubtThenMakesSuspect)
+{
+    UpstreamEvidence evidence;
+    evidence.lastProgress = start;
+    noteOpening(evidence, start);
+    BOOST_TEST(!isInDoubt(evidence, start + 20ms));
+    BOOST_TEST(isInDoubt(evidence, start + 41ms));
+    BOOST_TEST(judge(evidence, start + 80ms));
+    BOOST_TEST(noteProbe(evidence, ProbeResult::refused, start + 81ms));
+}
+
+BOOST_AUTO_TEST_CASE(aPeersFindingIsOnlyASuspicionAndOwnProgressOutweighsIt)
+{
+    UpstreamEvidence evidence;
+    evidence.lastProgress = start;
+    BOOST_TEST(!noteDarkAtPeer(evidence, 50ms, start + 100ms));
+    BOOST_TEST(noteDarkAtPeer(evidence, 50ms, start + 2s));
+    BOOST_TEST((evidence.state == Reachability::suspect));
+    BOOST_TEST(!noteProbe(evidence, ProbeResult::connected, start + 2s));
+    BOOST_TEST((evidence.state == Reachability::fine));
+}
+
+BOOST_AUTO_TEST_CASE(aDarkUpstreamIsTriedAgainEverLess)
+{
+    UpstreamEvidence evidence;
+    evidence.lastProgress = start;
+    evidence.stalledFlows = 5;
+    auto now = start + 1s;
+    judge(evidence, now);
+    noteProbe(evidence, ProbeResult::silent, now);
+    const auto first = evidence.darkUntil - now;
+    now = evidence.darkUntil;
+    BOOST_TEST(isProbeDue(evidence, now));
+    noteProbe(evidence, ProbeResult::silent, now);
+    BOOST_TEST((evidence.darkUntil - now > first));
+    BOOST_TEST((evidence.darkUntil - now <= longestDark));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Choice)
+
+BOOST_AUTO_TEST_CASE(staysInItsDataCentreUnlessThatIsClearlyFuller)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 1), start);
+    auto remote = entryOf(2, 100, 2);
+    remote.dataCentre = "b";
+    directory.merge(remote, start);
+    const std::string service = "orders";
+    const std::string dataCentre = "a";
+    const auto later = start + 10s;
+    BOOST_TEST(chooseUpstream(directory, {later, service, dataCentre, 0, 1})->entry.id == 1);
+    directory.find(cookieOf(1, 100))->load.activeFlows = 2;
+    BOOST_TEST(chooseUpstream(directory, {later, service, dataCentre, 0, 1})->entry.id == 1);
+    directory.find(cookieOf(1, 100))->load.activeFlows = 20;
+    BOOST_TEST(chooseUpstream(directory, {later, service, dataCentre, 0, 1})->entry.id == 2);
+}
+
+BOOST_AUTO_TEST_CASE(neverChoosesDrainingOrAmbiguousOnes)
+{
+    UpstreamDirectory directory;
+    directory.merge(entryOf(1, 100, 1, ListedPhase::draining), start);
+    directory.merge(entryOf(2, 100, 2), start);
+    directory.find(cookieOf(2, 100))->isAmbiguous = true;
+    const std::string service = "orders";
+    const std::string dataCentre = "a";
+    BOOST_TEST(chooseUpstream(directory, {start, service, dataCentre, 0, 1}) == nullptr);
+    BOOST_TEST(directory.find(cookieOf(2, 100)) == nullptr);
+}
+
+/** Many instances with the same news must not all choose an upstream that has just appeared. */
+BOOST_AUTO_TEST_CASE(aNewUpstreamIsNotHerdedTo)
+{
+    UpstreamDirectory directory;
+    for (UpstreamId id = 1; id <= 4; ++id) {
+        directory.merge(entryOf(id, 100, id), start);
+        directory.find(cookieOf(id, 100))->load.activeFlows = 10;
+    }
+    const auto now = start + 10s;
+    directory.merge(entryOf(5, 100, 9), now);
+    const std::string service = "orders";
+    const std::string dataCentre = "a";
+    int chosen = 0;
+    for (std::uint64_t draw = 0; draw < 100; ++draw) {
+        chosen += chooseUpstream(directory, {now + 50ms, service, dataCentre, 0, draw * 7919})->entry.id == 5 ? 1 : 0;
+    }
+    BOOST_TEST(chosen < 60);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Peers)
+
+BOOST_AUTO_TEST_CASE(messagesSurviveTheirEncoding)
+{
+    PeerReport report;
+    report.sender = {"entry-1", 7, "a", *Endpoint::parse("10.0.0.1:7000"), *Endpoint::parse("10.0.0.1:7001")};
+    report.number = 3;
+    report.phase = PeerPhase::serving;
+    report.reachesStore = true;
+    report.stamp = {11, 12};
+    report.loads = {{5, 1, 2}};
+    report.dark = {{6, 40}};
+    report.changes = {entryOf(9, -5, 10, ListedPhase::departed)};
+    report.sightings = {{report.sender, 80}};
+    const auto decoded = decodeReport(encode(report));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded->sender == report.sender));
+    BOOST_TEST((decoded->changes == report.changes));
+    BOOST_TEST(decoded->dark.front().ageMs == 40);
+    BOOST_TEST((decoded->stamp == report.stamp));
+    const KnowledgeSnapshot snapshot {{4, 5, 15s, {{{1, 2}, {{"x", 3}}}}}, report.changes, 99};
+    const auto bytes = encode(snapshot);
+    const auto back = decodeSnapshot({reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size()});
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST((back->routes.routes == snapshot.routes.routes));
+    BOOST_TEST(back->knowledgeAgeMs == 99);
+}
+
+BOOST_AUTO_TEST_CASE(hostileBytesAreRejected)
+{
+    const auto valid = encode(PeerReport {});
+    const bool holds = rc::check("random, cut and changed bytes never crash", [&valid](const std::vector<std::uint8_t> &noise) {
+        decodeReport(noise);
+        decodeSnapshot(noise);
+        const auto length = *rc::gen::inRange<std::size_t>(0, valid.size());
+        std::vector<std::uint8_t> changed(valid.begin(), valid.begin() + static_cast<std::ptrdiff_t>(length));
+        RC_ASSERT(!decodeReport(changed).has_value());
+        changed = valid;
+        changed[*rc::gen::inRange<std::size_t>(0, valid.size())] ^= *rc::gen::inRange<std::uint8_t>(1, 255);
+        decodeReport(changed);
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_CASE(anOldIncarnationIsNotHeard)
+{
+    PeerTable table({"entry-0", 1, "a", {}, {}});
+    PeerReport report;
+    report.sender = {"entry-1", 7, "a", {}, {}};
+    report.number = 5;
+    BOOST_TEST(table.take(report, start) != nullptr);
+    BOOST_TEST(table.take(report, start) == nullptr);
+    report.sender.incarnation = 6;
+    report.number = 9;
+    BOOST_TEST(table.take(report, start) == nullptr);
+    report.sender.incarnation = 8;
+    report.number = 1;
+    BOOST_TEST(table.take(report, start) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -0,0 +1,229 @@
+/** @file
+    Loads that a fleet has to bear, each named in its test, on the model of a fleet. Bounds come from what clients are
+    promised: requests in their aim, no flow of a living upstream cut, nothing delivered to the wrong upstream.
+*/
+#include "model/CookieFleetModel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sapphirespan;
+using namespace sapphirespan::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Checks what holds under every load. */
+void checkSafety(const ModelCounts &counts)
+{
+    BOOST_TEST(counts.brokenFlows == 0);
+    BOOST_TEST(counts.misdelivered == 0);
+    BOOST_TEST(counts.placedOnDraining == 0);
+}
+
+/** A fleet that has met and serves. */
+std::unique_ptr<CookieFleetModel> warmFleet(const ModelSettings &settings)
+{
+    auto fleet = std::make_unique<CookieFleetModel>(settings);
+    fleet->run(6s);
+    checkSafety(fleet->takeCounts());
+    return fleet;
+}
+
+ModelSettings withSeed(std::uint64_t seed)
+{
+    ModelSettings settings;
+    settings.seed = seed;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    return settings;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aCalmDayIsServedInItsAim)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        fleet->run(10s);
+        const auto counts = fleet->takeCounts();
+        checkSafety(counts);
+        BOOST_TEST(counts.asked > 3000);
+        BOOST_TEST(counts.failed == 0);
+        BOOST_TEST(counts.share() > 0.99);
+    }
+}
+
+/** Hosts of crashed upstreams answer openings with resets, of which an instance sees nothing. */
+BOOST_AUTO_TEST_CASE(crashedUpstreamsThatRefuseCostNoTries)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        for (const std::size_t upstream : {0, 1, 5}) {
+            fleet->crash(upstream, false);
+        }
+        fleet->run(2s);
+        const auto counts = fleet->takeCounts();
+        checkSafety(counts);
+        BOOST_TEST(counts.failed <= 0.02 * counts.asked);
+        BOOST_TEST(counts.share() > 0.95);
+    }
+}
+
+/** Dark upstreams answer nothing; clients repeat after 200 ms and give up after 800 ms. */
+BOOST_AUTO_TEST_CASE(darkUpstreamsAreLeftBeforeClientsGiveUp)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        for (const std::size_t upstream : {0, 1, 5}) {
+            fleet->crash(upstream, true);
+        }
+        fleet->run(1s);
+        checkSafety(fleet->takeCounts());
+        fleet->run(2s);
+        const auto later = fleet->takeCounts();
+        checkSafety(later);
+        BOOST_TEST(later.failed <= 0.005 * later.asked);
+        BOOST_TEST(later.share() > 0.97);
+    }
+}
+
+/** Instances of a data centre that is cut off reach only its own upstreams; clients still reach the instances. */
+BOOST_AUTO_TEST_CASE(aCutDataCentreServesFromItsOwnUpstreams)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        fleet->isCut = [](const std::string &from, const std::string &to) { return (from == "c") != (to == "c"); };
+        fleet->run(1s);
+        checkSafety(fleet->takeCounts());
+        fleet->run(3s);
+        const auto during = fleet->takeCounts();
+        checkSafety(during);
+        BOOST_TEST(during.share() > 0.95);
+        fleet->isCut = [](const std::string &, const std::string &) { return false; };
+        fleet->run(4s);
+        const auto healed = fleet->takeCounts();
+        checkSafety(healed);
+        BOOST_TEST(healed.share() > 0.95);
+    }
+}
+
+/** All instances lose their memory at once, while the store is away: peers know nothing either. */
+BOOST_AUTO_TEST_CASE(aFleetThatRestartsWithoutItsStoreServesOnceItIsBack)
+{
+    auto fleet = warmFleet(withSeed(1));
+    fleet->isStoreAway = true;
+    for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+        fleet->stopInstance(index);
+    }
+    fleet->run(100ms);
+    for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+        fleet->startInstance(index);
+    }
+    fleet->run(2s);
+    for (const auto &instance : fleet->instances) {
+        BOOST_TEST(!instance.decisions->isReady());
+    }
+    fleet->isStoreAway = false;
+    fleet->run(1s);
+    checkSafety(fleet->takeCounts());
+    fleet->run(3s);
+    const auto counts = fleet->takeCounts();
+    checkSafety(counts);
+    BOOST_TEST(counts.share() > 0.98);
+}
+
+/** One instance restarts while the store is away: its peers tell it all, departed upstreams too. */
+BOOST_AUTO_TEST_CASE(anInstanceThatRestartsWithoutTheStoreLearnsFromPeers)
+{
+    auto fleet = warmFleet(withSeed(1));
+    fleet->remove(2); // its flows go on
+    fleet->run(500ms);
+    fleet->isStoreAway = true;
+    fleet->startInstance(0);
+    fleet->run(500ms);
+    BOOST_TEST(fleet->instances[0].decisions->isReady());
+    const auto &rows = fleet->instances[0].decisions->state().upstreams.rows();
+    BOOST_TEST(rows.contains(cookieOf(fleet->upstreams[2].entry.id, fleet->upstreams[2].entry.startedAt)));
+    fleet->run(2s);
+    const auto counts = fleet->takeCounts();
+    checkSafety(counts);
+    BOOST_TEST(counts.failed == 0);
+}
+
+/** Upstreams leave one after the other; their news must reach every instance within the drain bound. */
+BOOST_AUTO_TEST_CASE(drainingUpstreamsTakeNoNewFlow)
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        auto settings = withSeed(seed);
+        settings.kinds[0].usesLongFlows = false;
+        auto fleet = warmFleet(settings);
+        for (const std::size_t upstream : {0, 4, 8}) {
+            fleet->drain(upstream);
+            fleet->run(1s);
+        }
+        fleet->run(4s);
+        const auto counts = fleet->takeCounts();
+        checkSafety(counts);
+        BOOST_TEST(counts.failed == 0);
+    }
+}
+
+/** The store turns away exactly the instances that watch it, just before an upstream drains. */
+BOOST_AUTO_TEST_CASE(watchersThatTheStoreTurnsAwayAreReplacedInTime)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto settings = withSeed(seed);
+        settings.kinds[0].usesLongFlows = false;
+        auto fleet = warmFleet(settings);
+        int watchers = 0;
+        for (auto &instance : fleet->instances) {
+            const bool isWatching = instance.decisions->wantsStore();
+            watchers += isWatching ? 1 : 0;
+            instance.reachesStore = !isWatching;
+        }
+        BOOST_TEST(watchers == static_cast<int>(watcherCount));
+        fleet->drain(0);
+        fleet->run(6s);
+        checkSafety(fleet->takeCounts());
+    }
+}
+
+/** Calls to the store do not grow with the fleet once it has started. */
+BOOST_AUTO_TEST_CASE(aLargerFleetAsksTheStoreNoMore)
+{
+    const auto callsOf = [](int instancesPerDataCentre) {
+        ModelSettings settings;
+        settings.instancesPerDataCentre = instancesPerDataCentre;
+        CookieFleetModel fleet(settings);
+        fleet.run(6s);
+        int before = 0;
+        int after = 0;
+        for (const auto &instance : fleet.instances) {
+            before += instance.storeCalls;
+        }
+        fleet.run(10s);
+        for (const auto &instance : fleet.instances) {
+            after += instance.storeCalls;
+        }
+        return after - before;
+    };
+    const int small = callsOf(2);
+    const int large = callsOf(10);
+    BOOST_TEST(small > 0);
+    BOOST_TEST(large <= 1.2 * small);
+}
+
+/** A rolling restart of all instances cuts no flow. */
+BOOST_AUTO_TEST_CASE(aRollingRestartCutsNoFlow)
+{
+    auto fleet = warmFleet(withSeed(1));
+    for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+        fleet->instances[index].decisions->leaveRequested();
+        fleet->run(1500ms);
+        fleet->startInstance(index);
+        fleet->run(1s);
+    }
+    const auto counts = fleet->takeCounts();
+    checkSafety(counts);
+    BOOST_TEST(counts.failed == 0);
+    BOOST_TEST(counts.share() > 0.99);
+}
