Leave in turn within a data centre, and judge a silent data centre as a whole

An instance told to leave now stays ready while a neighbour is out, bounded by the time it is given; stalled flows of a data centre count together, and all its upstreams are probed.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -154,8 +154,9 @@
 void CookieDaemon::connectSignals()
 {
     const auto leave = [this] {
-        m_leavingSince = m_leavingSince.value_or(m_clock.steadyNow());
-        m_instance.leaveRequested();
+        const auto now = m_clock.steadyNow();
+        m_endBy = m_endBy.value_or(now + m_settings.leaveLimit - leaveMargin);
+        m_instance.leaveRequested(std::max(now, *m_endBy - shortestLeave));
     };
     m_handles.push_back(m_loop.onSignal(SIGTERM, leave));
     m_handles.push_back(m_loop.onSignal(SIGINT, leave));
@@ -241,12 +242,10 @@
 /** A leaving instance forwards until the fabric sends it nothing more. */
 void CookieDaemon::checkLeaving()
 {
-    if (!m_leavingSince) {
-        return;
-    }
-    const auto since = m_clock.steadyNow() - *m_leavingSince;
-    const bool isQuiet = since > shortestLeave && m_instance.sinceLastPacket() > leaveQuiet;
-    if (isQuiet || since > m_settings.leaveLimit - leaveMargin) {
+    const auto now = m_clock.steadyNow();
+    const auto leavingSince = m_instance.leavingSince();
+    const bool isQuiet = leavingSince && now - *leavingSince > shortestLeave && m_instance.sinceLastPacket() > leaveQuiet;
+    if (m_endBy && (isQuiet || now > *m_endBy)) {
         m_loop.stop();
     }
 }
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -56,7 +56,7 @@
     std::vector<OutgoingDatagram> m_datagrams;
     std::vector<OutgoingDatagram> m_reports;
     bool m_isFetching = false;
-    std::optional<SteadyTime> m_leavingSince;
+    std::optional<SteadyTime> m_endBy; ///< before the process is ended from outside, once it was asked to end
 };
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -78,11 +78,22 @@
     return true;
 }
 
+bool suspectForOthers(UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (evidence.state != Reachability::fine || now - evidence.lastProgress < suspectAfter) {
+        return false;
+    }
+    evidence.stalledFlows = std::max<std::uint16_t>(evidence.stalledFlows, stalledToTrustOneProbe);
+    become(evidence, Reachability::suspect, now);
+    return true;
+}
+
 bool noteProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now)
 {
     evidence.isProbing = false;
     if (result == ProbeResult::connected) {
         clear(evidence, now);
+        evidence.lastProgress = now;
         evidence.darkRounds = 0;
         return false;
     }
@@ -105,9 +116,7 @@
     if (evidence.state != Reachability::fine || evidence.lastProgress > foundAt - recentProgress || evidence.stateSince > foundAt) {
         return false;
     }
-    evidence.stalledFlows = stalledToTrustOneProbe;
-    become(evidence, Reachability::suspect, now);
-    return true;
+    return suspectForOthers(evidence, now);
 }
 
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now)
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -33,7 +33,7 @@
 */
 struct UpstreamEvidence {
     Reachability state = Reachability::fine;
-    SteadyTime lastProgress {}; ///< on any flow, as seen here
+    SteadyTime lastProgress {}; ///< on any flow as seen here, or of a connection attempt
     SteadyTime stateSince {};
     SteadyTime darkUntil {}; ///< when a dark upstream is tried again
     SteadyTime trickleUntil {}; ///< until when it takes few new flows after it was dark or suspect
@@ -80,6 +80,11 @@
 /** Notes that a flow repeated data (for the first time since it made progress), or that an opening was repeated. */
 void noteStall(UpstreamEvidence &evidence, bool isOpening);
 
+/** Makes an upstream suspect for what was seen elsewhere, unless it made progress lately; one failed connection attempt
+    is then enough. @returns whether it became suspect just now
+*/
+bool suspectForOthers(UpstreamEvidence &evidence, SteadyTime now);
+
 /** Judges what was noted. @returns whether the upstream became suspect just now */
 bool judge(UpstreamEvidence &evidence, SteadyTime now);
 
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -24,6 +24,16 @@
     }
 }
 
+void decideLeaving(CookieState &state)
+{
+    if (!state.latestLeave || state.leavingSince || (state.now < *state.latestLeave && state.peers.isNeighbourOut(state.now))) {
+        return;
+    }
+    state.leavingSince = state.now;
+    state.isReportUrgent = true;
+    announce(state, CookieEventKind::instanceLeaving, 0, "");
+}
+
 } // namespace
 
 CookieInstance::CookieInstance(const CookieInstanceSettings &settings, const PacketFormat &format, const Clock &clock)
@@ -89,15 +99,19 @@
     takeProbe(*m_state, cookie, result);
 }
 
-void CookieInstance::leaveRequested()
+void CookieInstance::leaveRequested(SteadyTime latest)
 {
-    if (!m_state->isLeaving) {
-        m_state->isLeaving = true;
+    if (!m_state->latestLeave) {
+        m_state->latestLeave = latest;
         m_state->isReportUrgent = true;
-        announce(*m_state, CookieEventKind::instanceLeaving, 0, "");
     }
 }
 
+std::optional<SteadyTime> CookieInstance::leavingSince() const
+{
+    return m_state->leavingSince;
+}
+
 void CookieInstance::setSeeds(const std::vector<Endpoint> &seeds)
 {
     m_state->settings.seeds = seeds;
@@ -112,6 +126,7 @@
     if (state.now - state.lastSweep >= sweepPeriod) {
         sweepFlows(state);
     }
+    decideLeaving(state);
     decideWatching(state);
     requestSnapshots(state);
     sendReports(state);
@@ -139,7 +154,7 @@
 
 bool CookieInstance::isReady() const
 {
-    return isLoaded(*m_state) && !m_state->isLeaving;
+    return isLoaded(*m_state) && !m_state->leavingSince;
 }
 
 Milliseconds CookieInstance::sinceLastPacket() const
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -170,8 +170,13 @@
     /** The outcome of a ProbeRequest. */
     void probeEnded(FlowCookie cookie, ProbeResult result);
 
-    /** Asks the instance to tell its peers that it leaves; it forwards until its process ends. Idempotent. */
-    void leaveRequested();
+    /** Asks the instance to leave. It waits while others of its data centre are out, but not beyond `latest`; from then
+        on it is not ready, and it forwards until its process ends. Idempotent.
+    */
+    void leaveRequested(SteadyTime latest);
+
+    /** @returns since when the instance is leaving and not ready any more, or nothing. */
+    std::optional<SteadyTime> leavingSince() const;
 
     /** Replaces the seeds, after the settings changed. */
     void setSeeds(const std::vector<Endpoint> &seeds);
--- a/modules/sapphirespan_cookie/peers/PeerReport.h
+++ b/modules/sapphirespan_cookie/peers/PeerReport.h
@@ -9,13 +9,14 @@
 enum class PeerPhase : std::uint8_t {
     starting, ///< has not learned routes and upstreams yet
     serving,
+    waiting, ///< serves, and will leave once fewer instances of its data centre are out
     leaving, ///< still forwards, and will end soon
     count
 };
 
 template<>
 struct NameTable<PeerPhase> {
-    static constexpr std::array<std::string_view, enumCount<PeerPhase>> names {"starting", "serving", "leaving"};
+    static constexpr std::array<std::string_view, enumCount<PeerPhase>> names {"starting", "serving", "waiting", "leaving"};
 };
 
 /** Which state of the store an instance knows. */
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -34,6 +34,9 @@
     if (isOld) {
         return nullptr;
     }
+    if (report.sender.incarnation != row.card.incarnation || report.phase != row.phase) {
+        row.phaseSince = now;
+    }
     row.card = report.sender;
     row.phase = report.phase;
     row.reachesStore = report.reachesStore;
@@ -58,6 +61,7 @@
         row.card = sighting.card;
         row.lastNumber = 0;
         row.phase = PeerPhase::starting;
+        row.phaseSince = now;
     }
     row.lastAlive = std::max(row.lastAlive, now - Milliseconds(sighting.ageMs));
 }
@@ -81,6 +85,20 @@
     return better < watcherCount;
 }
 
+bool PeerTable::isNeighbourOut(SteadyTime now) const
+{
+    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto &item) {
+        const auto &row = item.second;
+        const auto silence = now - row.lastAlive;
+        if (row.card.dataCentre != m_self.dataCentre || silence > restartTime) {
+            return false;
+        }
+        const bool isArriving = row.phase == PeerPhase::serving && now - row.phaseSince < rotationDelay;
+        const bool isAhead = row.phase == PeerPhase::waiting && rankKey(item.first) < rankKey(m_self.name);
+        return silence > restartSilence || row.phase == PeerPhase::leaving || row.phase == PeerPhase::starting || isArriving || isAhead;
+    });
+}
+
 std::size_t PeerTable::rank(SteadyTime now) const
 {
     const auto mine = rankKey(m_self.name);
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -15,6 +15,7 @@
     bool isWatching = false;
     std::uint64_t lastNumber = 0;
     KnowledgeStamp stamp;
+    SteadyTime phaseSince {}; ///< when it was first heard in this phase
     SteadyTime lastAlive {}; ///< when it last sent something, as heard here or told by others
     SteadyTime lastHeard {}; ///< when it was last heard here
     std::vector<LoadReport> loads;
@@ -23,6 +24,13 @@
 /** Silence after which a peer is taken to be out. */
 inline constexpr Milliseconds peerLease {1500};
 
+/** Time after its start by which the fabric hands packets to an instance again; it checks twice a second. */
+inline constexpr Milliseconds rotationDelay {700};
+
+/** Silence of a peer after which it is taken to have ended for a restart, and time within which it should be back. */
+inline constexpr Milliseconds restartSilence {900};
+inline constexpr Milliseconds restartTime {6000};
+
 /** Silence after which a peer is forgotten. */
 inline constexpr Milliseconds peerMemory {60000};
 
@@ -59,6 +67,11 @@
     */
     bool isWatcher(bool selfReachesStore, SteadyTime now) const;
 
+    /** @returns whether another instance of the same data centre is on its way out or in, so that this one had better stay
+        for now: a fabric with few instances left hands packets to all of them, ended ones too.
+    */
+    bool isNeighbourOut(SteadyTime now) const;
+
     /** @returns this instance's rank among those alive, from 0; staggers what any may do but few should. */
     std::size_t rank(SteadyTime now) const;
 
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -37,7 +37,8 @@
     SteadyTime lastTick {};
     SteadyTime lastSweep {};
     SteadyTime lastPacket {}; ///< from a client
-    bool isLeaving = false;
+    std::optional<SteadyTime> latestLeave; ///< by when to leave, once asked to
+    std::optional<SteadyTime> leavingSince;
 
     UpstreamDirectory upstreams;
     RouteDirectory routes;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -9,10 +9,42 @@
 /** Time for which departed upstreams stay known beyond the longest life of a flow. */
 constexpr Milliseconds departedMargin {5000};
 
+/** Flows that stall in another data centre, at any of its upstreams, before all of them are probed. */
+constexpr int stalledToSuspectDataCentre = 2;
+
+/** What the packets of all flows to one data centre tell together. */
+struct DataCentreEvidence {
+    int stalled = 0;
+    SteadyTime lastProgress {};
+};
+
+/** A data centre that is cut off makes no progress at any upstream; each alone may have too few flows to show it. */
+void judgeDataCentres(CookieState &state)
+{
+    std::map<std::string_view, DataCentreEvidence> dataCentres;
+    for (const auto &[cookie, row] : state.upstreams.rows()) {
+        if (row.entry.phase == ListedPhase::departed || row.evidence.state == Reachability::dark) {
+            continue; // known to be out of reach by itself
+        }
+        auto &evidence = dataCentres[row.entry.dataCentre];
+        evidence.stalled += row.evidence.stalledFlows + row.evidence.stalledOpenings;
+        evidence.lastProgress = std::max(evidence.lastProgress, row.evidence.lastProgress);
+    }
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        const auto &evidence = dataCentres[row.entry.dataCentre];
+        const bool isSilent = evidence.stalled >= stalledToSuspectDataCentre && state.now - evidence.lastProgress >= suspectAfter;
+        if (row.entry.dataCentre != state.settings.dataCentre && isSilent && row.entry.phase != ListedPhase::departed
+            && suspectForOthers(row.evidence, state.now)) {
+            announce(state, CookieEventKind::upstreamSuspect, cookie, "no flow to its data centre makes progress");
+        }
+    }
+}
+
 } // namespace
 
 void judgeUpstreams(CookieState &state)
 {
+    judgeDataCentres(state);
     for (auto &[cookie, row] : state.upstreams.rows()) {
         if (judge(row.evidence, state.now)) {
             announce(state, CookieEventKind::upstreamSuspect, cookie, "flows repeat packets without progress");
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -46,12 +46,23 @@
         std::clamp<std::int64_t>(std::chrono::duration_cast<Milliseconds>(state.now - time).count(), 0, longest));
 }
 
+PeerPhase phaseOf(const CookieState &state)
+{
+    if (state.leavingSince) {
+        return PeerPhase::leaving;
+    }
+    if (!isLoaded(state)) {
+        return PeerPhase::starting;
+    }
+    return state.latestLeave ? PeerPhase::waiting : PeerPhase::serving;
+}
+
 PeerReport reportOf(CookieState &state)
 {
     PeerReport report;
     report.sender = state.peers.self();
     report.number = state.nextReport++;
-    report.phase = state.isLeaving ? PeerPhase::leaving : (isLoaded(state) ? PeerPhase::serving : PeerPhase::starting);
+    report.phase = phaseOf(state);
     report.reachesStore = reachesStore(state);
     report.isWatching = state.isWatching;
     report.stamp = {state.routes.configuration().revision, state.upstreams.digest()};
@@ -183,7 +194,7 @@
 void decideWatching(CookieState &state)
 {
     bool wants = !isLoaded(state);
-    if (!wants && !state.isLeaving) {
+    if (!wants && !state.latestLeave) {
         const auto rank = std::min(state.peers.rank(state.now), mostStaggered);
         const bool hasMet = state.now - state.startedAt > meetingTime;
         const bool isOld = knowledgeAge(state) > oldestUnwatched + rankStagger * rank;
