--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -1,5 +1,6 @@
 #include "CookieDaemon.h"
 
+#include <charconv>
 #include <csignal>
 #include <random>
 
@@ -15,7 +16,7 @@
 constexpr Milliseconds reloadPeriod = 2s;
 
 /** Time for a connection attempt to an upstream; a few times the longest round trip. */
-constexpr Milliseconds probeDeadline = 100ms;
+constexpr Milliseconds probeDeadline = 60ms;
 
 /** Time for a peer's snapshot. */
 constexpr Milliseconds snapshotDeadline = 500ms;
@@ -26,10 +27,16 @@
 /** Silence after which a leaving instance ends. */
 constexpr Milliseconds leaveQuiet = 300ms;
 
+/** Time for which an instance that was told to end goes on being ready at most, while its data centre needs it. The
+    platform counts on instances that are not ready within four seconds. */
+constexpr Milliseconds longestStay = 2500ms;
+
 /** Time by which a leaving instance ends before it is ended from outside. */
 constexpr Milliseconds leaveMargin = 1s;
 
 constexpr const char *snapshotPath = "/knowledge";
+constexpr const char *routesAfterKey = "routes_after";
+constexpr const char *recentOnlyKey = "recent_only";
 
 CookieInstanceSettings decisionSettings(const CookieSettings &settings, const Clock &clock)
 {
@@ -41,6 +48,8 @@
     result.control = settings.control;
     result.returnPort = settings.ingress.port;
     result.seeds = settings.seeds;
+    result.isSeed = settings.isSeed;
+    result.isFirstStart = settings.isFirstStart;
     result.flowLifetime = settings.flowLifetime;
     result.randomSeed = std::random_device()();
     return result;
@@ -156,7 +165,7 @@
     const auto leave = [this] {
         const auto now = m_clock.steadyNow();
         m_endBy = m_endBy.value_or(now + m_settings.leaveLimit - leaveMargin);
-        m_instance.leaveRequested(std::max(now, *m_endBy - shortestLeave));
+        m_instance.leaveRequested(std::clamp<SteadyTime>(*m_endBy - shortestLeave, now, now + longestStay));
     };
     m_handles.push_back(m_loop.onSignal(SIGTERM, leave));
     m_handles.push_back(m_loop.onSignal(SIGINT, leave));
@@ -176,7 +185,15 @@
 HttpResponse CookieDaemon::controlAnswer(const HttpRequest &request) const
 {
     if (request.path == snapshotPath) {
-        const auto snapshot = m_instance.snapshot();
+        const auto routesAfter = request.query.find(routesAfterKey);
+        const auto recentOnly = request.query.find(recentOnlyKey);
+        SnapshotScope scope;
+        if (routesAfter != request.query.end()) {
+            const auto &text = routesAfter->second;
+            std::from_chars(text.data(), text.data() + text.size(), scope.routesAfter); // else everything is sent
+        }
+        scope.isRecentOnly = recentOnly != request.query.end() && recentOnly->second == "1";
+        const auto snapshot = m_instance.snapshot(scope);
         return snapshot ? HttpResponse {200, encode(*snapshot), "application/msgpack", {}} : HttpResponse {503, "", "text/plain", {}};
     }
     return {404, "", "text/plain", {}};
@@ -195,25 +212,28 @@
     m_peer->send(m_reports);
     m_instance.outbox().clear();
     for (const auto &request : m_instance.takeProbeRequests()) {
-        m_prober.probe(request.address, probeDeadline, [this, cookie = request.cookie](ConnectionOutcome outcome) {
+        m_prober.probe(request.address, probeDeadline, [this, request](ConnectionOutcome outcome) {
             m_instance.beginBatch();
-            m_instance.probeEnded(cookie, resultOf(outcome));
+            m_instance.probeEnded(request, resultOf(outcome));
             carryOut();
         });
     }
     for (const auto &request : m_instance.takeSnapshotRequests()) {
-        fetchSnapshot(request.control);
+        fetchSnapshot(request);
     }
     m_source->setActive(m_instance.wantsStore());
 }
 
-void CookieDaemon::fetchSnapshot(const Endpoint &control)
+void CookieDaemon::fetchSnapshot(const SnapshotRequest &request)
 {
     if (m_isFetching) {
         return;
     }
     m_isFetching = true;
-    m_client.send(control, HttpMethod::get, snapshotPath, {}, "", snapshotDeadline, [this, control](const HttpOutcome &outcome) {
+    const auto &control = request.control;
+    const auto target = std::string(snapshotPath) + "?" + routesAfterKey + "=" + std::to_string(request.scope.routesAfter) + "&"
+        + recentOnlyKey + "=" + (request.scope.isRecentOnly ? "1" : "0");
+    m_client.send(control, HttpMethod::get, target, {}, "", snapshotDeadline, [this, control](const HttpOutcome &outcome) {
         m_isFetching = false;
         if (!outcome.response || outcome.response->status != 200) {
             m_log.info("snapshot_not_received", fields({{"from", control.toText()}}));
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -32,7 +32,7 @@
     void connectSignals();
     HttpResponse controlAnswer(const HttpRequest &request) const;
     void carryOut();
-    void fetchSnapshot(const Endpoint &control);
+    void fetchSnapshot(const SnapshotRequest &request);
     void tick();
     void checkLeaving();
     void reload(bool isAsked);
--- a/modules/sapphirespan_config/settings/CookieSettings.cpp
+++ b/modules/sapphirespan_config/settings/CookieSettings.cpp
@@ -30,6 +30,8 @@
     }
     settings.platform = reader.endpoint(root, "platform", true).value_or(Endpoint {});
     settings.seeds = settingsEndpoints(reader, root, "seeds", settings.control);
+    settings.isSeed = reader.sequence(root, "seeds", false).size() > settings.seeds.size();
+    settings.isFirstStart = settingsFlag(reader, root, "first_start");
     settings.logLevel = settingsLogLevel(reader, root);
     settings.flowLifetime = reader.duration(root, "flow_lifetime", settings.flowLifetime, 1s, 24h);
     settings.leaveLimit = reader.duration(root, "leave_limit", settings.leaveLimit, 1s, 1h);
@@ -54,8 +56,9 @@
     CookieSettings settings;
     const auto root = reader.parse(text);
     if (root
-        && reader.checkKeys(
-            *root, {"steering", "instance", "data_centre", "listen", "platform", "seeds", "log_level", "flow_lifetime", "leave_limit"})) {
+        && reader.checkKeys(*root,
+                            {"steering", "instance", "data_centre", "listen", "platform", "seeds", "first_start", "log_level",
+                             "flow_lifetime", "leave_limit"})) {
         const YAML::Node constant = *root;
         parseRoot(reader, constant, settings);
     }
--- a/modules/sapphirespan_config/settings/CookieSettings.h
+++ b/modules/sapphirespan_config/settings/CookieSettings.h
@@ -16,6 +16,8 @@
     Endpoint control; ///< TCP: snapshots for peers, metrics
     Endpoint platform; ///< TCP: the store of the platform
     std::vector<Endpoint> seeds; ///< control endpoints of other instances; may be out of date
+    bool isSeed = false; ///< its control endpoint is among the seeds
+    bool isFirstStart = false; ///< the whole fleet starts for the first time
     std::string logLevel = "info";
     Milliseconds flowLifetime {60000}; ///< after which a flow may be forgotten
     Milliseconds leaveLimit {6000}; ///< after which a leaving instance is ended from outside
--- a/modules/sapphirespan_config/settings/SettingsReading.cpp
+++ b/modules/sapphirespan_config/settings/SettingsReading.cpp
@@ -33,6 +33,15 @@
     return result;
 }
 
+bool settingsFlag(YamlReader &reader, const YAML::Node &root, const char *key)
+{
+    const auto text = reader.text(root, key, false).value_or("false");
+    if (text != "true" && text != "false") {
+        reader.addFinding(root[key], "true or false", "'" + text + "'");
+    }
+    return text == "true";
+}
+
 std::string settingsLogLevel(YamlReader &reader, const YAML::Node &root)
 {
     const auto level = reader.text(root, "log_level", false).value_or("info");
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Shortest time between two connection attempts to one upstream. */
-constexpr Milliseconds shortestProbeGap {100};
+constexpr Milliseconds shortestProbeGap {60};
 
 /** Progress so recent outweighs a peer's finding, since the peer may be the one that is cut off. */
 constexpr Milliseconds recentProgress {200};
@@ -83,7 +83,6 @@
     if (evidence.state != Reachability::fine || now - evidence.lastProgress < suspectAfter) {
         return false;
     }
-    evidence.stalledFlows = std::max<std::uint16_t>(evidence.stalledFlows, stalledToTrustOneProbe);
     become(evidence, Reachability::suspect, now);
     return true;
 }
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -58,8 +58,9 @@
 /** Time after which such an upstream is probed. */
 inline constexpr Milliseconds suspectOpeningAfter {80};
 
-/** Stalled flows, counting an unanswered opening as one, that make an upstream suspect. */
-inline constexpr int stalledToSuspect = 2;
+/** Stalled flows, counting an unanswered opening as one, that make an upstream suspect. A connection attempt then settles
+    it within milliseconds if the upstream lives. */
+inline constexpr int stalledToSuspect = 1;
 
 /** Time for which a dark upstream is left alone before it is probed again; doubles up to longestDark. */
 inline constexpr Milliseconds firstDark {1000};
@@ -80,9 +81,8 @@
 /** Notes that a flow repeated data (for the first time since it made progress), or that an opening was repeated. */
 void noteStall(UpstreamEvidence &evidence, bool isOpening);
 
-/** Makes an upstream suspect for what was seen elsewhere, unless it made progress lately; one failed connection attempt
-    is then enough. @returns whether it became suspect just now
-*/
+/** Makes an upstream suspect for what was seen elsewhere, unless it made progress lately. @returns whether it became suspect just now
+ */
 bool suspectForOthers(UpstreamEvidence &evidence, SteadyTime now);
 
 /** Judges what was noted. @returns whether the upstream became suspect just now */
@@ -107,7 +107,7 @@
 /** Notes the outcome of a connection attempt. @returns whether the upstream became dark just now */
 bool noteProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now);
 
-/** Takes a peer's finding that an upstream is dark as a strong suspicion, unless progress was seen here since. Flows are
+/** Takes a peer's finding that an upstream is dark as a suspicion, unless progress was seen here since. Flows are
     ended only on what this instance finds itself: the peer may be the one that is cut off.
     @param age of the finding @returns whether the upstream became suspect just now
 */
--- a/modules/sapphirespan_cookie/flows/FlowBook.cpp
+++ b/modules/sapphirespan_cookie/flows/FlowBook.cpp
@@ -44,7 +44,7 @@
         step.isNewRequest = !flow.isWaiting;
         flow.isWaiting = true;
         flow.waitingSince = now;
-    } else if (packet.payloadBytes > 0 && !step.isProgress) {
+    } else if (packet.payloadBytes > 0 && !step.isProgress && now - flow.waitingSince >= shortestRepetition) {
         step.isFirstRepeat = flow.repeats == 0;
         flow.repeats = static_cast<std::uint8_t>(flow.repeats < 0xff ? flow.repeats + 1 : flow.repeats);
     }
--- a/modules/sapphirespan_cookie/flows/FlowBook.h
+++ b/modules/sapphirespan_cookie/flows/FlowBook.h
@@ -24,6 +24,7 @@
     std::uint32_t acknowledged = 0; ///< highest byte of the upstream that the client acknowledged
     SteadyTime lastSeen {};
     SteadyTime waitingSince {};
+    SteadyTime openedAt {}; ///< when its opening was last forwarded
 };
 
 /** What one packet changed about its flow. */
@@ -34,6 +35,10 @@
     std::optional<Microseconds> responseTime; ///< from the request's last new byte until its response began
 };
 
+/** Shortest time after which a packet that comes again is a repetition by its client, whose first comes after 200 ms. Two
+    copies sooner than that were held up together on their way here, and say nothing about the upstream. */
+inline constexpr Milliseconds shortestRepetition {150};
+
 /** @returns whether sequence number a comes after b, modulo 2^32 (RFC 1982). */
 bool isAfter(std::uint32_t a, std::uint32_t b);
 
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -12,6 +12,10 @@
 /** Time between two sweeps over the flows. */
 constexpr Milliseconds sweepPeriod {500};
 
+/** Time between two ticks that shows that the process runs late, and for which it then judges nothing. */
+constexpr Milliseconds lateTick {90};
+constexpr Milliseconds catchUpTime {150};
+
 /** Silence between two ticks that means that the process did not run; ticks come every 50 ms. */
 constexpr Milliseconds pauseThreshold {600};
 
@@ -26,7 +30,7 @@
 
 void decideLeaving(CookieState &state)
 {
-    if (!state.latestLeave || state.leavingSince || (state.now < *state.latestLeave && state.peers.isNeighbourOut(state.now))) {
+    if (!state.latestLeave || state.leavingSince || (state.now < *state.latestLeave && state.peers.isNeededHere(state.now))) {
         return;
     }
     state.leavingSince = state.now;
@@ -94,9 +98,9 @@
     learnSnapshot(*m_state, snapshot);
 }
 
-void CookieInstance::probeEnded(FlowCookie cookie, ProbeResult result)
+void CookieInstance::probeEnded(const ProbeRequest &request, ProbeResult result)
 {
-    takeProbe(*m_state, cookie, result);
+    takeProbe(*m_state, request, result);
 }
 
 void CookieInstance::leaveRequested(SteadyTime latest)
@@ -121,8 +125,13 @@
 {
     beginBatch();
     auto &state = *m_state;
+    if (state.now - state.lastTick > lateTick) {
+        state.behindUntil = state.now + catchUpTime;
+    }
     state.lastTick = state.now;
-    judgeUpstreams(state);
+    if (state.now >= state.behindUntil) {
+        judgeUpstreams(state);
+    }
     if (state.now - state.lastSweep >= sweepPeriod) {
         sweepFlows(state);
     }
@@ -162,13 +171,9 @@
     return std::chrono::duration_cast<Milliseconds>(m_state->clock.steadyNow() - m_state->lastPacket);
 }
 
-std::optional<KnowledgeSnapshot> CookieInstance::snapshot() const
+std::optional<KnowledgeSnapshot> CookieInstance::snapshot(const SnapshotScope &scope) const
 {
-    if (!isLoaded(*m_state)) {
-        return std::nullopt;
-    }
-    return KnowledgeSnapshot {m_state->routes.configuration(), m_state->upstreams.entries(),
-                              static_cast<std::uint32_t>(knowledgeAge(*m_state).count())};
+    return makeSnapshot(*m_state, scope);
 }
 
 const CookieAccounts &CookieInstance::accounts() const
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -22,6 +22,8 @@
     Endpoint control; ///< TCP: snapshots for peers
     std::uint16_t returnPort = 0; ///< UDP port at which clients take packets
     std::vector<Endpoint> seeds; ///< control endpoints of other instances; peers have the same ports as this instance
+    bool isFirstStart = false; ///< the whole fleet starts for the first time, before there is traffic
+    bool isSeed = false; ///< other instances may ask this one when they start
     Milliseconds flowLifetime {60000}; ///< after which a flow may be forgotten
     Milliseconds heartbeat {400}; ///< between reports to peers
     std::uint64_t randomSeed = 0;
@@ -111,11 +113,19 @@
 struct ProbeRequest {
     FlowCookie cookie = 0;
     Endpoint address;
+    SteadyTime startedAt {};
+};
+
+/** Which part of its knowledge a peer is asked for. */
+struct SnapshotScope {
+    std::uint64_t routesAfter = 0; ///< routes are sent only if their revision is higher
+    bool isRecentOnly = false; ///< only upstreams about which the peer learned something lately
 };
 
 /** Asks the driver to fetch a snapshot from a peer's control endpoint. */
 struct SnapshotRequest {
     Endpoint control;
+    SnapshotScope scope;
 };
 
 /** All decisions of one entry instance with cookie steering, without input or output.
@@ -168,7 +178,7 @@
     void snapshotArrived(const KnowledgeSnapshot &snapshot);
 
     /** The outcome of a ProbeRequest. */
-    void probeEnded(FlowCookie cookie, ProbeResult result);
+    void probeEnded(const ProbeRequest &request, ProbeResult result);
 
     /** Asks the instance to leave. It waits while others of its data centre are out, but not beyond `latest`; from then
         on it is not ready, and it forwards until its process ends. Idempotent.
@@ -197,8 +207,8 @@
     /** @returns the time since the latest packet of a client. */
     Milliseconds sinceLastPacket() const;
 
-    /** @returns what a peer needs to start, or nothing before this instance knows it. */
-    std::optional<KnowledgeSnapshot> snapshot() const;
+    /** @returns what a peer asks for, or nothing before this instance knows it. */
+    std::optional<KnowledgeSnapshot> snapshot(const SnapshotScope &scope) const;
 
     const CookieAccounts &accounts() const;
     const CookieState &state() const;
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
@@ -59,6 +59,7 @@
         row.departedAt = now;
     }
     row.entry = entry;
+    row.changedAt = now;
     row.address = toEndpoint(entry.address);
     row.warmUntil = now + Milliseconds(entry.warmUpLeftMs);
 }
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
@@ -52,6 +52,7 @@
     Endpoint address;
     bool isAmbiguous = false; ///< another start has the same cookie; neither is placed on nor decoded
     SteadyTime learnedAt {};
+    SteadyTime changedAt {}; ///< when this instance learned the present entry
     SteadyTime warmUntil {}; ///< when it expects to have warmed up
     std::optional<SteadyTime> departedAt; ///< when this instance learned that it is no longer listed
     UpstreamEvidence evidence;
--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -198,7 +198,7 @@
 {
     msgpack::sbuffer buffer;
     Packer packer(buffer);
-    packHeader(packer, 13);
+    packHeader(packer, 14);
     packer.pack(reportMark);
     pack(packer, report.sender);
     packer.pack(report.number);
@@ -212,6 +212,7 @@
     packAll(packer, report.dark);
     packAll(packer, report.changes);
     packAll(packer, report.sightings);
+    packer.pack(report.hasLoads);
     return {buffer.data(), buffer.data() + buffer.size()};
 }
 
@@ -232,7 +233,7 @@
 
 std::optional<PeerReport> decodeReport(std::span<const std::uint8_t> bytes)
 {
-    return decoded(bytes, reportMark, 13, [](std::span<const msgpack::object> list) {
+    return decoded(bytes, reportMark, 14, [](std::span<const msgpack::object> list) {
         PeerReport report;
         report.sender = cardFrom(list[1]);
         report.number = numberFrom<std::uint64_t>(list[2]);
@@ -245,6 +246,7 @@
         report.dark = allFrom(list[10], darkFrom);
         report.changes = allFrom(list[11], entryFrom);
         report.sightings = allFrom(list[12], sightingFrom);
+        report.hasLoads = boolFrom(list[13]);
         return report;
     });
 }
--- a/modules/sapphirespan_cookie/peers/PeerReport.h
+++ b/modules/sapphirespan_cookie/peers/PeerReport.h
@@ -66,6 +66,7 @@
     bool isWatching = false;
     KnowledgeStamp stamp;
     std::uint32_t knowledgeAgeMs = 0; ///< since the store last confirmed what the stamp stands for
+    bool hasLoads = false; ///< else the loads of the report before still hold
     std::vector<LoadReport> loads;
     std::vector<DarkReport> dark;
     std::vector<UpstreamEntry> changes; ///< learned lately
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -43,6 +43,7 @@
     row.isWatching = report.isWatching;
     row.lastNumber = report.number;
     row.stamp = report.stamp;
+    row.confirmedAt = now - Milliseconds(report.knowledgeAgeMs);
     row.lastAlive = now;
     row.lastHeard = now;
     return &row;
@@ -85,18 +86,22 @@
     return better < watcherCount;
 }
 
-bool PeerTable::isNeighbourOut(SteadyTime now) const
+bool PeerTable::isNeededHere(SteadyTime now) const
 {
-    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto &item) {
-        const auto &row = item.second;
+    std::size_t all = 1;
+    std::size_t staying = 0;
+    for (const auto &[name, row] : m_rows) {
         const auto silence = now - row.lastAlive;
         if (row.card.dataCentre != m_self.dataCentre || silence > restartTime) {
-            return false;
+            continue;
         }
+        ++all;
         const bool isArriving = row.phase == PeerPhase::serving && now - row.phaseSince < rotationDelay;
-        const bool isAhead = row.phase == PeerPhase::waiting && rankKey(item.first) < rankKey(m_self.name);
-        return silence > restartSilence || row.phase == PeerPhase::leaving || row.phase == PeerPhase::starting || isArriving || isAhead;
-    });
+        const bool isAhead = row.phase == PeerPhase::waiting && rankKey(name) < rankKey(m_self.name);
+        const bool isOut = row.phase == PeerPhase::leaving || row.phase == PeerPhase::starting;
+        staying += silence <= restartSilence && !isOut && !isArriving && !isAhead ? 1 : 0;
+    }
+    return all > 1 && staying + 1 < all && 2 * staying < all;
 }
 
 std::size_t PeerTable::rank(SteadyTime now) const
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -15,6 +15,7 @@
     bool isWatching = false;
     std::uint64_t lastNumber = 0;
     KnowledgeStamp stamp;
+    SteadyTime confirmedAt {}; ///< when the store last confirmed what the stamp stands for
     SteadyTime phaseSince {}; ///< when it was first heard in this phase
     SteadyTime lastAlive {}; ///< when it last sent something, as heard here or told by others
     SteadyTime lastHeard {}; ///< when it was last heard here
@@ -67,10 +68,10 @@
     */
     bool isWatcher(bool selfReachesStore, SteadyTime now) const;
 
-    /** @returns whether another instance of the same data centre is on its way out or in, so that this one had better stay
-        for now: a fabric with few instances left hands packets to all of them, ended ones too.
+    /** @returns whether too few instances of the same data centre would be left if this one left now: a fabric with fewer
+        than half of them left hands packets to all, ended ones too.
     */
-    bool isNeighbourOut(SteadyTime now) const;
+    bool isNeededHere(SteadyTime now) const;
 
     /** @returns this instance's rank among those alive, from 0; staggers what any may do but few should. */
     std::size_t rank(SteadyTime now) const;
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -35,6 +35,7 @@
     SteadyTime now {}; ///< of the batch or tick in progress
     SteadyTime startedAt {};
     SteadyTime lastTick {};
+    SteadyTime behindUntil {}; ///< until when this instance takes itself to run late
     SteadyTime lastSweep {};
     SteadyTime lastPacket {}; ///< from a client
     std::optional<SteadyTime> latestLeave; ///< by when to leave, once asked to
@@ -52,7 +53,9 @@
     PeerTable peers;
     std::uint64_t nextReport = 1;
     SteadyTime lastReport {};
+    SteadyTime lastRegularReport {};
     bool isReportUrgent = false;
+    bool hasFinding = false; ///< about an upstream that is dark
     std::optional<SteadyTime> storeFailedAt; ///< when a call last failed, until one succeeds
     bool isWatching = false;
     SteadyTime watchingSince {};
@@ -60,7 +63,9 @@
     std::vector<SnapshotRequest> snapshotRequests;
     SteadyTime lastSnapshotRequest {};
     std::size_t nextSeed = 0;
-    std::map<std::string, SteadyTime> differsSince; ///< by peer: since when its upstreams differ from ours
+    SteadyTime lastUpstreamFetch {};
+    int upstreamFetches = 0; ///< in a row, without the upstreams becoming those of a peer
+    SteadyTime lastAnsweredProbe {}; ///< when the latest attempt started that was answered
     std::vector<ProbeRequest> probeRequests;
 
     std::mt19937_64 random;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -18,6 +18,20 @@
     SteadyTime lastProgress {};
 };
 
+/** Makes all upstreams of another data centre suspect that made no progress lately. */
+void suspectDataCentre(CookieState &state, const std::string &dataCentre)
+{
+    if (dataCentre == state.settings.dataCentre) {
+        return;
+    }
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        const bool isMember = row.entry.dataCentre == dataCentre && row.entry.phase != ListedPhase::departed;
+        if (isMember && suspectForOthers(row.evidence, state.now)) {
+            announce(state, CookieEventKind::upstreamSuspect, cookie, "no flow to its data centre makes progress");
+        }
+    }
+}
+
 /** A data centre that is cut off makes no progress at any upstream; each alone may have too few flows to show it. */
 void judgeDataCentres(CookieState &state)
 {
@@ -30,14 +44,35 @@
         evidence.stalled += row.evidence.stalledFlows + row.evidence.stalledOpenings;
         evidence.lastProgress = std::max(evidence.lastProgress, row.evidence.lastProgress);
     }
+    for (const auto &[dataCentre, evidence] : dataCentres) {
+        if (evidence.stalled >= stalledToSuspectDataCentre && state.now - evidence.lastProgress >= suspectAfter) {
+            suspectDataCentre(state, std::string(dataCentre));
+        }
+    }
+}
+
+void startProbe(CookieState &state, UpstreamRow &row)
+{
+    row.evidence.lastProbe = state.now;
+    ++state.accounts.probes;
+    state.probeRequests.push_back({row.cookie, row.address, state.now});
+}
+
+/** Probes an upstream that should answer as well: if it does not, this instance's own link or loop is slow, and silence
+    of the others proves nothing. */
+void startControlProbe(CookieState &state)
+{
+    UpstreamRow *best = nullptr;
     for (auto &[cookie, row] : state.upstreams.rows()) {
-        const auto &evidence = dataCentres[row.entry.dataCentre];
-        const bool isSilent = evidence.stalled >= stalledToSuspectDataCentre && state.now - evidence.lastProgress >= suspectAfter;
-        if (row.entry.dataCentre != state.settings.dataCentre && isSilent && row.entry.phase != ListedPhase::departed
-            && suspectForOthers(row.evidence, state.now)) {
-            announce(state, CookieEventKind::upstreamSuspect, cookie, "no flow to its data centre makes progress");
+        const bool isUsable
+            = row.entry.phase != ListedPhase::departed && row.evidence.state == Reachability::fine && !row.evidence.isProbing;
+        if (isUsable && (best == nullptr || row.evidence.lastProgress > best->evidence.lastProgress)) {
+            best = &row;
         }
     }
+    if (best != nullptr) {
+        startProbe(state, *best);
+    }
 }
 
 } // namespace
@@ -51,26 +86,38 @@
         }
         if (row.entry.phase != ListedPhase::departed && isProbeDue(row.evidence, state.now)) {
             row.evidence.isProbing = true;
-            row.evidence.lastProbe = state.now;
-            ++state.accounts.probes;
-            state.probeRequests.push_back({cookie, row.address});
+            startProbe(state, row);
         }
     }
+    if (!state.probeRequests.empty()) {
+        startControlProbe(state);
+    }
 }
 
-void takeProbe(CookieState &state, FlowCookie cookie, ProbeResult result)
+void takeProbe(CookieState &state, const ProbeRequest &request, ProbeResult result)
 {
-    auto *row = state.upstreams.find(cookie);
-    if (row == nullptr) {
+    if (result != ProbeResult::silent) {
+        state.lastAnsweredProbe = std::max(state.lastAnsweredProbe, request.startedAt);
+    }
+    auto *row = state.upstreams.find(request.cookie);
+    if (row == nullptr || !row->evidence.isProbing) {
+        return; // a control probe
+    }
+    if (result == ProbeResult::silent && state.lastAnsweredProbe < request.startedAt) {
+        row->evidence.isProbing = false; // nobody answered: the fault may be on this side
         return;
     }
+    if (result == ProbeResult::silent) {
+        suspectDataCentre(state, row->entry.dataCentre);
+    }
     const bool wasFine = row->evidence.state == Reachability::fine;
     if (noteProbe(row->evidence, result, state.now)) {
-        announce(state, CookieEventKind::upstreamDark, cookie, nameOf(result));
+        announce(state, CookieEventKind::upstreamDark, request.cookie, nameOf(result));
         resetFlowsOf(state, *row);
         state.isReportUrgent = true;
+        state.hasFinding = true;
     } else if (!wasFine && row->evidence.state == Reachability::fine) {
-        announce(state, CookieEventKind::upstreamBack, cookie, "a connection attempt succeeded");
+        announce(state, CookieEventKind::upstreamBack, request.cookie, "a connection attempt succeeded");
     }
 }
 
--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
@@ -9,8 +9,16 @@
 /** Shortest time between two snapshots that an instance asks for. */
 constexpr Milliseconds snapshotGap {150};
 
-/** Time for which upstreams may differ from a peer's before a snapshot is fetched; reports usually bring the changes. */
-constexpr Milliseconds differenceTolerance {600};
+/** Upstreams that differ from a peer's are fetched once this instance's were confirmed so much earlier: then something
+    was lost that reports usually bring. */
+constexpr Milliseconds staleness {800};
+
+/** Shortest time between two fetches of upstreams, and time within which a change counts as recent. */
+constexpr Milliseconds upstreamFetchGap {500};
+constexpr Milliseconds recentTime {5000};
+
+/** Recent changes are fetched so often before everything is. */
+constexpr int recentFetches = 2;
 
 CookieEventKind eventOf(ListedPhase phase)
 {
@@ -29,16 +37,22 @@
 }
 
 /** Reports go out at once for what changes where flows may go; warming up can wait for the next report. */
-void passOn(CookieState &state, const UpstreamEntry &entry)
+void passOn(CookieState &state, const UpstreamEntry &entry, std::optional<ListedPhase> before)
 {
     std::erase_if(state.changes, [&entry](const RecentChange &change) { return change.entry.id == entry.id; });
     state.changes.push_back({entry, state.now});
-    announce(state, eventOf(entry.phase), cookieOf(entry.id, entry.startedAt), entry.service);
-    if (entry.phase != ListedPhase::ready || entry.warmUpLeftMs == 0) {
+    if (before != entry.phase) {
         state.isReportUrgent = true;
+        announce(state, eventOf(entry.phase), cookieOf(entry.id, entry.startedAt), entry.service);
     }
 }
 
+std::optional<ListedPhase> phaseOf(const CookieState &state, const UpstreamEntry &entry)
+{
+    const auto row = state.upstreams.rows().find(cookieOf(entry.id, entry.startedAt));
+    return row != state.upstreams.rows().end() ? std::optional(row->second.entry.phase) : std::nullopt;
+}
+
 void noteLoaded(CookieState &state, bool wasLoaded, std::string_view from)
 {
     if (!wasLoaded && isLoaded(state)) {
@@ -47,11 +61,11 @@
     }
 }
 
-void askPeer(CookieState &state, const Endpoint &control)
+void askPeer(CookieState &state, const Endpoint &control, const SnapshotScope &scope)
 {
     state.lastSnapshotRequest = state.now;
     ++state.accounts.snapshotsAsked;
-    state.snapshotRequests.push_back({control});
+    state.snapshotRequests.push_back({control, scope});
 }
 
 void askSeed(CookieState &state)
@@ -59,39 +73,59 @@
     for (std::size_t tried = 0; tried < state.settings.seeds.size(); ++tried) {
         const auto &seed = state.settings.seeds[state.nextSeed++ % state.settings.seeds.size()];
         if (seed != state.settings.control) {
-            askPeer(state, seed);
+            askPeer(state, seed, {});
             return;
         }
     }
 }
 
-/** @returns whether a peer's snapshot would bring news. */
-bool knowsBetter(CookieState &state, const std::string &name, const PeerRow &row)
+/** Asks one of the peers that know better, at random, so that the fleet does not ask the same one; those in the own data
+    centre first. */
+template<typename KnowsBetter>
+bool askOneOf(CookieState &state, const SnapshotScope &scope, KnowsBetter knowsBetter)
 {
-    if (!isAlive(row, state.now) || row.phase == PeerPhase::starting) {
-        return false;
-    }
-    if (row.stamp.routesRevision > state.routes.configuration().revision) {
-        return true;
+    std::vector<const PeerRow *> inside;
+    std::vector<const PeerRow *> outside;
+    for (const auto &[name, row] : state.peers.rows()) {
+        if (isAlive(row, state.now) && row.phase != PeerPhase::starting && knowsBetter(row)) {
+            (row.card.dataCentre == state.settings.dataCentre ? inside : outside).push_back(&row);
+        }
     }
-    if (row.stamp.upstreamsDigest == state.upstreams.digest()) {
-        state.differsSince.erase(name);
+    const auto &candidates = inside.empty() ? outside : inside;
+    if (candidates.empty()) {
         return false;
     }
-    const auto since = state.differsSince.emplace(name, state.now).first->second;
-    if (state.now - since < differenceTolerance) {
+    askPeer(state, candidates[state.random() % candidates.size()]->card.control, scope);
+    return true;
+}
+
+bool askForRoutes(CookieState &state)
+{
+    const auto revision = state.routes.configuration().revision;
+    return askOneOf(state, {revision, true}, [revision](const PeerRow &row) { return row.stamp.routesRevision > revision; });
+}
+
+bool askForUpstreams(CookieState &state)
+{
+    if (state.now - state.lastUpstreamFetch < upstreamFetchGap) {
         return false;
     }
-    state.differsSince[name] = state.now;
-    return true;
+    const SnapshotScope scope {state.routes.configuration().revision, state.upstreamFetches < recentFetches};
+    const bool isAsked = askOneOf(state, scope, [&state](const PeerRow &row) {
+        return row.stamp.upstreamsDigest != state.upstreams.digest() && row.confirmedAt - state.upstreamsConfirmedAt > staleness;
+    });
+    state.upstreamFetches = isAsked ? state.upstreamFetches + 1 : 0;
+    state.lastUpstreamFetch = isAsked ? state.now : state.lastUpstreamFetch;
+    return isAsked;
 }
 
 } // namespace
 
 void learnUpstream(CookieState &state, const UpstreamEntry &entry)
 {
+    const auto before = phaseOf(state, entry);
     if (state.upstreams.merge(entry, state.now)) {
-        passOn(state, entry);
+        passOn(state, entry, before);
     }
 }
 
@@ -100,7 +134,7 @@
     const bool wasLoaded = isLoaded(state);
     const auto changed = state.upstreams.replaceAll(list, state.now);
     if (state.areUpstreamsLoaded) {
-        std::for_each(changed.begin(), changed.end(), [&state](const UpstreamEntry &entry) { passOn(state, entry); });
+        std::for_each(changed.begin(), changed.end(), [&state](const UpstreamEntry &entry) { passOn(state, entry, std::nullopt); });
     }
     state.areUpstreamsLoaded = true;
     state.upstreamsConfirmedAt = state.now;
@@ -114,12 +148,12 @@
     }
     for (const auto &[id, revision] : changes.unreadable) {
         if (const auto entry = state.upstreams.markUnreadable(id, revision, state.now)) {
-            passOn(state, *entry);
+            passOn(state, *entry, std::nullopt);
         }
     }
     for (const auto &[id, revision] : changes.departed) {
         if (const auto entry = state.upstreams.depart(id, revision, state.now)) {
-            passOn(state, *entry);
+            passOn(state, *entry, std::nullopt);
         }
     }
 }
@@ -135,11 +169,29 @@
     noteLoaded(state, wasLoaded, "store");
 }
 
+std::optional<KnowledgeSnapshot> makeSnapshot(const CookieState &state, const SnapshotScope &scope)
+{
+    if (!isLoaded(state)) {
+        return std::nullopt;
+    }
+    KnowledgeSnapshot snapshot;
+    if (state.routes.configuration().revision > scope.routesAfter) {
+        snapshot.routes = state.routes.configuration();
+    }
+    for (const auto &[cookie, row] : state.upstreams.rows()) {
+        if (!scope.isRecentOnly || state.now - row.changedAt < recentTime) {
+            snapshot.upstreams.push_back(row.entry);
+        }
+    }
+    snapshot.knowledgeAgeMs = static_cast<std::uint32_t>(knowledgeAge(state).count());
+    return snapshot;
+}
+
 void learnSnapshot(CookieState &state, const KnowledgeSnapshot &snapshot)
 {
     const bool wasLoaded = isLoaded(state);
     const auto confirmedAt = state.now - Milliseconds(snapshot.knowledgeAgeMs);
-    const bool areRoutesCurrent = snapshot.routes.revision >= state.routes.configuration().revision;
+    const bool areRoutesCurrent = snapshot.routes.revision != 0 && snapshot.routes.revision >= state.routes.configuration().revision;
     if (state.routes.apply(snapshot.routes)) {
         state.isReportUrgent = true;
         announce(state, CookieEventKind::routesInForce, 0, std::to_string(snapshot.routes.version));
@@ -148,8 +200,10 @@
         state.routesConfirmedAt = std::max(state.routesConfirmedAt, confirmedAt);
     }
     for (const auto &entry : snapshot.upstreams) {
-        if (state.upstreams.merge(entry, state.now) && state.areUpstreamsLoaded) {
-            passOn(state, entry);
+        if (state.areUpstreamsLoaded) {
+            learnUpstream(state, entry);
+        } else {
+            state.upstreams.merge(entry, state.now);
         }
     }
     if (!state.areUpstreamsLoaded) {
@@ -164,11 +218,8 @@
     if (state.now - state.lastSnapshotRequest < snapshotGap) {
         return;
     }
-    for (const auto &[name, row] : state.peers.rows()) {
-        if (knowsBetter(state, name, row)) {
-            askPeer(state, row.card.control);
-            return;
-        }
+    if (isLoaded(state) && (askForRoutes(state) || askForUpstreams(state))) {
+        return;
     }
     if (!isLoaded(state)) {
         askSeed(state);
--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.h
@@ -16,6 +16,9 @@
 /** Takes in a configuration from the store or a peer. */
 void learnRoutes(CookieState &state, const RouteConfiguration &configuration);
 
+/** @returns what a peer asks for, or nothing before this instance knows it. */
+std::optional<KnowledgeSnapshot> makeSnapshot(const CookieState &state, const SnapshotScope &scope);
+
 /** Takes in a peer's snapshot. */
 void learnSnapshot(CookieState &state, const KnowledgeSnapshot &snapshot);
 
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -85,6 +85,7 @@
     flow.cookie = row->cookie;
     flow.openingSequence = packet.sequence;
     flow.lastSeen = state.now;
+    flow.openedAt = state.now;
     ++row->load.activeFlows;
     noteOpening(row->evidence, state.now);
     ++(avoided != 0 ? state.accounts.moved : state.accounts.placed);
@@ -116,7 +117,7 @@
     }
     auto &flow = known->second;
     auto *row = state.upstreams.find(flow.cookie);
-    if (flow.phase == FlowPhase::opening) {
+    if (flow.phase == FlowPhase::opening && state.now - flow.openedAt >= shortestRepetition) {
         if (flow.repeats++ == 0 && row != nullptr) {
             noteStall(row->evidence, true);
         }
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -8,8 +8,14 @@
 
 namespace {
 
-/** Shortest time between two reports, however urgent. */
-constexpr Milliseconds shortestReportGap {40};
+/** Shortest time between two reports with changes of the store's knowledge, and with a finding that saves clients tries. */
+constexpr Milliseconds shortestReportGap {80};
+constexpr Milliseconds shortestFindingGap {40};
+
+/** Time for which a starting instance waits for a peer's answer before it asks the store; longer when a fleet starts for
+    the first time, and only seeds ask the store at once. */
+constexpr Milliseconds peersFirst {50};
+constexpr Milliseconds seedsFirst {1500};
 
 /** Time after the start in which instances that know nothing of their peers do not watch yet. */
 constexpr Milliseconds meetingTime {800};
@@ -57,7 +63,8 @@
     return state.latestLeave ? PeerPhase::waiting : PeerPhase::serving;
 }
 
-PeerReport reportOf(CookieState &state)
+/** @param isUrgent leaves out what can wait for the next regular report */
+PeerReport reportOf(CookieState &state, bool isUrgent)
 {
     PeerReport report;
     report.sender = state.peers.self();
@@ -67,8 +74,9 @@
     report.isWatching = state.isWatching;
     report.stamp = {state.routes.configuration().revision, state.upstreams.digest()};
     report.knowledgeAgeMs = millisecondsSince(state, std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
+    report.hasLoads = !isUrgent;
     for (const auto &[cookie, row] : state.upstreams.rows()) {
-        if ((row.load.activeFlows > 0 || row.load.waitingRequests > 0) && report.loads.size() < mostLoads) {
+        if (report.hasLoads && (row.load.activeFlows > 0 || row.load.waitingRequests > 0) && report.loads.size() < mostLoads) {
             report.loads.push_back({cookie, row.load.activeFlows, row.load.waitingRequests});
         }
         const auto since = millisecondsSince(state, row.evidence.stateSince);
@@ -82,7 +90,9 @@
     for (auto change = state.changes.rbegin(); change != state.changes.rend() && report.changes.size() < mostChangesInReport; ++change) {
         report.changes.push_back(change->entry);
     }
-    report.sightings = state.peers.sightings(state.now, mostSightings, state.random);
+    if (!isUrgent) {
+        report.sightings = state.peers.sightings(state.now, mostSightings, state.random);
+    }
     return report;
 }
 
@@ -162,7 +172,9 @@
     for (const auto &entry : report->changes) {
         learnUpstream(state, entry);
     }
-    replaceLoads(state, *peer, report->loads);
+    if (report->hasLoads) {
+        replaceLoads(state, *peer, report->loads);
+    }
     takeFreshness(state, *report);
     takeDark(state, *report);
     requestSnapshots(state);
@@ -170,20 +182,23 @@
 
 void sendReports(CookieState &state)
 {
-    const auto since = state.now - state.lastReport;
-    const bool isUrgent = state.isReportUrgent && since >= shortestReportGap;
-    if (!isUrgent && since < state.settings.heartbeat) {
+    const bool isRegular = state.now - state.lastRegularReport >= state.settings.heartbeat;
+    const auto gap = state.hasFinding ? shortestFindingGap : shortestReportGap;
+    const bool isUrgent = !isRegular && state.isReportUrgent && state.now - state.lastReport >= gap;
+    if (!isUrgent && !isRegular) {
         return;
     }
+    const bool isNews = std::exchange(state.isReportUrgent, false);
+    state.hasFinding = false;
     state.lastReport = state.now;
-    state.isReportUrgent = false;
-    auto targets = state.peers.targets(isUrgent, state.now, state.random);
+    state.lastRegularReport = isRegular ? state.now : state.lastRegularReport;
+    auto targets = state.peers.targets(isNews, state.now, state.random);
     const auto seeds = seedPeers(state);
     targets.insert(targets.end(), seeds.begin(), seeds.end());
     if (targets.empty()) {
         return;
     }
-    const auto bytes = encode(reportOf(state));
+    const auto bytes = encode(reportOf(state, isUrgent));
     for (const auto &to : targets) {
         ++state.accounts.reportsSent;
         state.accounts.reportBytes += bytes.size();
@@ -193,8 +208,9 @@
 
 void decideWatching(CookieState &state)
 {
-    bool wants = !isLoaded(state);
-    if (!wants && !state.latestLeave) {
+    const auto patience = !state.settings.isFirstStart ? peersFirst : (state.settings.isSeed ? Milliseconds(0) : seedsFirst);
+    bool wants = !isLoaded(state) && state.now - state.startedAt >= patience;
+    if (isLoaded(state) && !state.latestLeave) {
         const auto rank = std::min(state.peers.rank(state.now), mostStaggered);
         const bool hasMet = state.now - state.startedAt > meetingTime;
         const bool isOld = knowledgeAge(state) > oldestUnwatched + rankStagger * rank;
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -295,3 +295,40 @@
         BOOST_TEST(counts.failed <= 0.01 * counts.asked);
     }
 }
+
+/** Packets wait at the link of one instance for longer than clients do, and its connection attempts too: everything seems
+    silent to it, and nothing is. */
+BOOST_AUTO_TEST_CASE(anInstanceBehindASlowLinkEndsNoFlow)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        fleet->instances[0].hasSlowLink = true;
+        fleet->run(4s);
+        checkSafety(fleet->takeCounts());
+        BOOST_TEST(fleet->instances[0].decisions->accounts().resetDark == 0U);
+    }
+}
+
+/** A configuration grows while many upstreams change: no peer is asked by the whole fleet. */
+BOOST_AUTO_TEST_CASE(snapshotsAreSpreadOverPeers)
+{
+    auto settings = withSeed(1);
+    settings.instancesPerDataCentre = 10;
+    auto fleet = warmFleet(settings);
+    auto routes = fleet->routes;
+    for (std::uint16_t index = 0; index < 300; ++index) {
+        routes.push_back({{0xc6120100U + index, 80}, {{"orders", 1}}});
+    }
+    fleet->configure(routes);
+    for (int round = 0; round < 10; ++round) {
+        fleet->remove(static_cast<std::size_t>(round));
+        fleet->addUpstream("a", "orders");
+        fleet->run(300ms);
+    }
+    int most = 0;
+    for (const auto &instance : fleet->instances) {
+        most = std::max(most, instance.snapshotsServed);
+        BOOST_TEST(instance.decisions->state().routes.configuration().routes.size() == routes.size());
+    }
+    BOOST_TEST(most <= static_cast<int>(fleet->instances.size()) / 2);
+}
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -78,10 +78,12 @@
     bool isRunning = true;
     bool isInRotation = false;
     bool reachesStore = true;
+    bool hasSlowLink = false; ///< packets wait at its link for longer than clients wait to repeat them
     std::uint64_t seenRevision = 0;
     SteadyTime nextStoreAnswer {};
     int storeCalls = 0;
     int starts = 0;
+    int snapshotsServed = 0;
 };
 
 /** A fleet of instances with their fabric, store, upstreams and clients in one thread at logical time.
--- a/modules/sapphirespan_net/probe/ConnectionProber.cpp
+++ b/modules/sapphirespan_net/probe/ConnectionProber.cpp
@@ -4,12 +4,30 @@
 #include <event2/event.h>
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cstring>
 
 namespace sapphirespan {
 
+namespace {
+
+/** At the deadline an answer may have come already that a late loop has not handled yet. */
+ConnectionOutcome outcomeNow(int descriptor)
+{
+    pollfd state {descriptor, POLLOUT, 0};
+    if (::poll(&state, 1, 0) <= 0) {
+        return ConnectionOutcome::silent;
+    }
+    int error = 0;
+    socklen_t length = sizeof error;
+    ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    return error == 0 ? ConnectionOutcome::connected : ConnectionOutcome::refused;
+}
+
+} // namespace
+
 struct ConnectionProber::Attempt {
     ConnectionProber *prober = nullptr;
     bufferevent *connection = nullptr;
@@ -41,7 +59,7 @@
     auto *attempt = m_attempts.emplace_back(std::make_unique<Attempt>()).get();
     attempt->prober = this;
     attempt->callback = std::move(callback);
-    attempt->deadline = m_loop.after(deadline, [this, attempt] { finish(attempt, ConnectionOutcome::silent); });
+    attempt->deadline = m_loop.after(deadline, [this, attempt] { finish(attempt, outcomeNow(bufferevent_getfd(attempt->connection))); });
     attempt->connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
         attempt->connection, nullptr, nullptr,
