--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -29,8 +29,8 @@
         return nullptr;
     }
     auto &row = m_rows[report.sender.name];
-    const bool isOld = report.sender.incarnation < row.card.incarnation
-        || (report.sender.incarnation == row.card.incarnation && report.number <= row.lastNumber);
+    const bool isOtherStart = report.sender.incarnation < row.card.incarnation && isAlive(row, now);
+    const bool isOld = isOtherStart || (report.sender.incarnation == row.card.incarnation && report.number <= row.lastNumber);
     if (isOld) {
         return nullptr;
     }
@@ -51,7 +51,11 @@
 
 void PeerTable::take(const PeerSighting &sighting, SteadyTime now)
 {
-    if (sighting.card.name == m_self.name || sighting.card.peer == m_self.peer) {
+    if (sighting.card.name == m_self.name) {
+        m_self.incarnation = std::max(m_self.incarnation, sighting.card.incarnation + (sighting.card == m_self ? 0 : 1));
+        return;
+    }
+    if (sighting.card.peer == m_self.peer) {
         return;
     }
     auto &row = m_rows[sighting.card.name];
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -54,10 +54,12 @@
     {
     }
 
-    /** Takes in a report. @returns its sender's row, or nullptr for a report that is old or this instance's own */
+    /** Takes in a report. An earlier incarnation is heard again only once the later one has fallen silent, as after a step
+        of the clock that incarnations come from. @returns its sender's row, or nullptr for a report that is old or this instance's own */
     PeerRow *take(const PeerReport &report, SteadyTime now);
 
-    /** Takes in that others heard of an instance. */
+    /** Takes in that others heard of an instance. If it is an earlier start of this one with a higher incarnation, this
+        instance goes above it. */
     void take(const PeerSighting &sighting, SteadyTime now);
 
     /** Forgets peers that were silent for long. */
--- a/modules/sapphirespan_cookie/tests/CookieTest.cpp
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -381,4 +381,25 @@
     BOOST_TEST(table.take(report, start) != nullptr);
 }
 
+/** The clock of an instance stepped back before it started again, so its incarnation is lower than before. */
+BOOST_AUTO_TEST_CASE(aStartAfterAClockStepIsHeard)
+{
+    PeerTable peer({"entry-0", 1, "a", {}, {}});
+    PeerReport report;
+    report.sender = {"entry-1", 5000, "a", {}, {}};
+    report.number = 900;
+    BOOST_TEST(peer.take(report, start) != nullptr);
+    PeerTable restarted({"entry-1", 3000, "a", {}, {}});
+    restarted.take(PeerSighting {report.sender, 10}, start);
+    BOOST_TEST(restarted.self().incarnation == 5001U);
+    restarted.take(PeerSighting {restarted.self(), 10}, start);
+    BOOST_TEST(restarted.self().incarnation == 5001U);
+    report.sender = restarted.self();
+    report.number = 1;
+    BOOST_TEST(peer.take(report, start + 500ms) != nullptr);
+    report.sender.incarnation = 4000;
+    BOOST_TEST(peer.take(report, start + 600ms) == nullptr);
+    BOOST_TEST(peer.take(report, start + 600ms + peerLease) != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -332,3 +332,62 @@
     }
     BOOST_TEST(most <= static_cast<int>(fleet->instances.size()) / 2);
 }
+
+/** An instance that hears neither store nor peers goes on serving, and knows how old its knowledge is. */
+BOOST_AUTO_TEST_CASE(anInstanceOnItsOwnKnowsTheAgeOfItsKnowledge)
+{
+    auto settings = withSeed(1);
+    settings.dataCentres = {"a", "b"};
+    settings.instancesPerDataCentre = 1;
+    auto fleet = warmFleet(settings);
+    fleet->instances[0].reachesStore = false;
+    fleet->isCut = [](const std::string &from, const std::string &to) { return from != to; };
+    fleet->run(5s);
+    const auto age = knowledgeAge(fleet->instances[0].decisions->state());
+    BOOST_TEST(age.count() >= 4000);
+    BOOST_TEST(age.count() <= 6500);
+    BOOST_TEST(knowledgeAge(fleet->instances[1].decisions->state()).count() <= 2500);
+    BOOST_TEST(fleet->instances[0].decisions->isReady());
+    fleet->takeCounts();
+    fleet->run(2s);
+    BOOST_TEST(fleet->takeCounts().share() > 0.95);
+}
+
+/** The address of a removed upstream passes to one of another service: no packet of the old flows is taken there. */
+BOOST_AUTO_TEST_CASE(anAddressThatPassesToAnotherServiceTakesNoOldFlow)
+{
+    auto settings = withSeed(1);
+    RequestKind other;
+    other.service = "labels";
+    settings.kinds.push_back(other);
+    auto fleet = warmFleet(settings);
+    std::size_t old = 0;
+    while (fleet->upstreams[old].entry.service != "orders") {
+        ++old;
+    }
+    const auto address = fleet->upstreams[old].entry.address;
+    fleet->crash(old, false);
+    fleet->remove(old);
+    fleet->run(2s);
+    checkSafety(fleet->takeCounts());
+    fleet->addUpstreamAt("a", "labels", address);
+    fleet->run(6s);
+    const auto counts = fleet->takeCounts();
+    BOOST_TEST(counts.placedOnDraining == 0);
+    BOOST_TEST(counts.takenByOthers == 0);
+    BOOST_TEST(counts.share() > 0.97);
+}
+
+/** An instance that stood still sends on what waited in its sockets and judges nobody by what it missed. */
+BOOST_AUTO_TEST_CASE(anInstanceThatWakesEndsNoFlow)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        fleet->freezeInstance(0);
+        fleet->run(3500ms);
+        fleet->thawInstance(0);
+        fleet->run(2s);
+        checkSafety(fleet->takeCounts());
+        BOOST_TEST(fleet->instances[0].decisions->accounts().resetDark == 0U);
+    }
+}
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -105,8 +105,9 @@
             }
         }
         for (int index = 0; index < settings.instancesPerDataCentre; ++index) {
-            instances.push_back(
-                {settings.dataCentres[zone], toEndpoint({address++, peerPort}), nullptr, false, false, true, false, 0, {}, 0, 0, 0});
+            auto &instance = instances.emplace_back();
+            instance.dataCentre = settings.dataCentres[zone];
+            instance.peer = toEndpoint({address++, peerPort});
         }
         for (int index = 0; index < settings.usersPerDataCentre; ++index) {
             auto &user = *m_users.emplace_back(std::make_unique<User>());
@@ -193,6 +194,25 @@
     carryOut(index);
 }
 
+void CookieFleetModel::freezeInstance(std::size_t index)
+{
+    instances[index].isFrozen = true;
+    instances[index].isRunning = false;
+}
+
+void CookieFleetModel::thawInstance(std::size_t index)
+{
+    auto &instance = instances[index];
+    instance.isFrozen = false;
+    instance.isRunning = true;
+    instance.decisions->beginBatch();
+    for (auto &bytes : instance.waitingPackets) {
+        instance.decisions->packetArrived(bytes);
+    }
+    carryOut(index);
+    instance.waitingPackets.clear();
+}
+
 void CookieFleetModel::stopInstance(std::size_t index)
 {
     instances[index].isRunning = false;
@@ -329,13 +349,15 @@
     }
     const auto index = candidates[std::hash<FlowEnds>()(packet.ends) % candidates.size()];
     after(clientDelay + (instances[index].hasSlowLink ? slowLinkDelay : Microseconds(0)), [this, index, packet] {
-        if (!instances[index].isRunning) {
-            return;
+        auto &instance = instances[index];
+        if (instance.isFrozen) {
+            instance.waitingPackets.push_back(bytesOf(packet));
+        } else if (instance.isRunning) {
+            auto bytes = bytesOf(packet);
+            instance.decisions->beginBatch();
+            instance.decisions->packetArrived(bytes);
+            carryOut(index);
         }
-        auto bytes = bytesOf(packet);
-        instances[index].decisions->beginBatch();
-        instances[index].decisions->packetArrived(bytes);
-        carryOut(index);
     });
 }
 
@@ -362,16 +384,18 @@
     after(fromDataCentre == upstream->entry.dataCentre ? insideDelay : outsideDelay, [this, upstream, id, packet] {
         const auto &ends = packet.ends;
         if (upstream->isDark || upstream->entry.id != id) {
-            m_counts.misdelivered += upstream->entry.id != id ? 1 : 0;
+            m_counts.misdelivered += upstream->entry.id != id ? 1 : 0; // not taken: the header names another
             return;
         }
+        const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.address == ends.service; });
+        const bool isOther = route == routes.end() || route->services.front().service != upstream->entry.service;
+        m_counts.takenByOthers += isOther ? 1 : 0;
         if (!upstream->isListening || (!packet.isOpening && !upstream->flows.contains(ends))) {
             toClient(ends, [this](User &user) { clientReset(user, false); });
             return;
         }
         if (packet.isOpening) {
-            const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.address == ends.service; });
-            m_counts.misdelivered += route == routes.end() || route->services.front().service != upstream->entry.service ? 1 : 0;
+            m_counts.misdelivered += isOther ? 1 : 0;
             const bool isLate = upstream->drainingSince && clock.steadyNow() - *upstream->drainingSince > drainBound;
             m_counts.placedOnDraining += isLate && !upstream->flows.contains(ends) ? 1 : 0;
             upstream->flows.emplace(ends, false);
@@ -599,13 +623,18 @@
 }
 
 std::size_t CookieFleetModel::addUpstream(const std::string &dataCentre, const std::string &service)
+{
+    return addUpstreamAt(dataCentre, service, {0x0a800000 + static_cast<std::uint32_t>(upstreams.size()), 8080});
+}
+
+std::size_t CookieFleetModel::addUpstreamAt(const std::string &dataCentre, const std::string &service, const Ipv4Endpoint &address)
 {
     ModelUpstream upstream;
     upstream.entry.id = m_nextId++;
     upstream.entry.startedAt = clock.wallNow().time_since_epoch().count();
     upstream.entry.revision = ++m_revision;
     upstream.entry.service = service;
-    upstream.entry.address = {0x0a800000 + static_cast<std::uint32_t>(upstreams.size()), 8080};
+    upstream.entry.address = address;
     upstream.entry.dataCentre = dataCentre;
     upstream.entry.slots = m_settings.slots;
     m_history.emplace_back(m_revision, upstream.entry);
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -47,6 +47,7 @@
     int failed = 0;
     int brokenFlows = 0; ///< resets by an instance of flows whose upstream lived and was reached
     int misdelivered = 0; ///< packets for another upstream, or of a service that the upstream does not have
+    int takenByOthers = 0; ///< packets that an upstream of another service took
     int placedOnDraining = 0; ///< openings that reached an upstream after the drain bound
     double worth = 0; ///< earned
     double owed = 0;
@@ -75,7 +76,7 @@
     std::string dataCentre;
     Endpoint peer;
     std::unique_ptr<CookieInstance> decisions;
-    bool isRunning = true;
+    bool isRunning = false;
     bool isInRotation = false;
     bool reachesStore = true;
     bool hasSlowLink = false; ///< packets wait at its link for longer than clients wait to repeat them
@@ -84,6 +85,8 @@
     int storeCalls = 0;
     int starts = 0;
     int snapshotsServed = 0;
+    bool isFrozen = false;
+    std::vector<std::vector<std::uint8_t>> waitingPackets; ///< in its socket while it stands still
 };
 
 /** A fleet of instances with their fabric, store, upstreams and clients in one thread at logical time.
@@ -112,6 +115,11 @@
     void drain(std::size_t upstream);
     void remove(std::size_t upstream);
     std::size_t addUpstream(const std::string &dataCentre, const std::string &service);
+    std::size_t addUpstreamAt(const std::string &dataCentre, const std::string &service, const Ipv4Endpoint &address);
+
+    /** Lets an instance stand still; what comes to its sockets meanwhile waits. */
+    void freezeInstance(std::size_t index);
+    void thawInstance(std::size_t index);
 
     /** Puts a configuration in force at the store. */
     void configure(const std::vector<Route> &routes);
