--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build demo test format lint package
+.PHONY: packages build demo test soak format lint package
 
 packages:
 	tools/install-packages.sh
@@ -13,10 +13,14 @@
 
 demo: build
 	python3 standins/harness/demo.py $(BUILD)
+	python3 standins/harness/cookie_demo.py $(BUILD)
 
 test: build
 	python3 tools/run-tests.py $(BUILD) --jobs $(JOBS)
 
+soak: build
+	tools/soak --build $(BUILD) --minutes 3
+
 format: packages
 	git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
 
--- /dev/null
+++ b/standins/harness/cookie_stage.py
@@ -0,0 +1,373 @@
+"""Cookie steering on loopback: real instances against a store, upstreams and clients that this file plays.
+
+Instances have addresses of their own within 127.0.0.0/8 and share ports, as on the platform. Every process is started
+here and ended by its id. One asyncio loop plays everything else.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import struct
+import subprocess
+import tempfile
+import urllib.parse
+import zlib
+
+HEAD = struct.Struct("<IB3sIIHHIIHI")  # echo, flags, pad, seq, ack, len, dport, dst, src, sport, sum
+SYN, ACK, FIN, RST = 16, 64, 1, 128
+UPSTREAM_SUM = 1  # marks packets of upstreams; the system's own resets carry 0
+SERVICES = {"subscriptions": ("198.18.0.1", 443), "packhouse": ("198.18.0.2", 443)}
+COPIES = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)  # pauses between copies of a packet, in seconds
+DEADLINE = 8.0
+RETRIES = 6
+
+
+def number(ip):
+    return int.from_bytes(bytes(map(int, ip.split("."))), "big")
+
+
+def dotted(value):
+    return ".".join(str(byte) for byte in value.to_bytes(4, "big"))
+
+
+def packet(flags, seq, ack, source, target, echo=0, data=b"", checksum=0):
+    (sip, sport), (dip, dport) = source, target
+    return HEAD.pack(echo, flags, b"\0\0\0", seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, len(data), dport, number(dip), number(sip), sport, checksum) + data
+
+
+class Parsed:
+    def __init__(self, raw):
+        self.echo, self.flags, _, self.seq, self.ack, _, dport, dst, src, sport, self.checksum = HEAD.unpack(raw[: HEAD.size])
+        self.data = raw[HEAD.size :]
+        self.source, self.target = (dotted(src), sport), (dotted(dst), dport)
+
+
+class Socket(asyncio.DatagramProtocol):
+    def __init__(self, received):
+        self.received = received
+
+    def datagram_received(self, raw, sender):
+        self.received(raw)
+
+
+async def udp(address, received):
+    transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: Socket(received), local_addr=address)
+    return transport
+
+
+class Store:
+    """Lists and watches by revision. `mode` is normal, busy, silent or lost (history gone, once for each watch)."""
+
+    def __init__(self):
+        self.kinds, self.history, self.revision, self.mode, self.calls = {"servers": {}, "config": {}}, [], 1, "normal", 0
+        self.lost_before = 0
+        self.changed = asyncio.Condition()
+
+    async def start(self, address):
+        self.server = await asyncio.start_server(self.serve, *address)
+
+    async def write(self, kind, name, spec):
+        self.revision += 1
+        item = {"meta": {"name": name, "revision": self.revision, "created": 1, "finalizers": [], "deleting": False}, "spec": spec, "status": None}
+        removed = spec is None
+        if removed:
+            item = self.kinds[kind].pop(name)
+        else:
+            self.kinds[kind][name] = item
+        self.history.append((self.revision, kind, {"removed": removed, "object": item}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_history(self):
+        self.lost_before = self.revision
+
+    async def serve(self, reader, writer):
+        try:
+            line = (await reader.readline()).decode()
+            while (await reader.readline()).strip():
+                pass
+            self.calls += 1
+            status, body = await self.answer(line.split(" ")[1])
+            text = json.dumps(body).encode()
+            writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text)
+            await writer.drain()
+        except (OSError, IndexError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the caller has gone, or the run is over
+        finally:
+            writer.close()
+
+    async def answer(self, target):
+        if self.mode == "silent":
+            await asyncio.sleep(60)
+        if self.mode == "busy":
+            return 503, {}
+        url = urllib.parse.urlparse(target)
+        kind, query = url.path.split("/")[2], urllib.parse.parse_qs(url.query)
+        if "watch" not in query:
+            return 200, {"items": list(self.kinds[kind].values()), "has_more": False, "as_of": self.revision}
+        since = int(query["watch"][0])
+        if since < self.lost_before:
+            return 410, {}
+        events = [event for revision, k, event in self.history if revision > since and k == kind]
+        if not events:
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), int(query["wait_ms"][0]) / 1000)
+                except asyncio.TimeoutError:
+                    pass
+            events = [event for revision, k, event in self.history if revision > since and k == kind]
+        return 200, {"events": events, "as_of": self.revision}
+
+
+class Upstream:
+    def __init__(self, stage, ident, address, service, zone):
+        self.stage, self.ident, self.address, self.service, self.zone = stage, ident, address, service, zone
+        self.flows, self.alive, self.state, self.taken_late = {}, False, "ready", 0
+        self.born = 1760000000000 + ident
+
+    async def start(self):
+        self.socket = await udp(self.address, self.received)
+        self.listener = await asyncio.start_server(lambda reader, writer: writer.close(), *self.address)
+        self.alive = True
+        await self.announce()
+
+    async def announce(self, state="ready"):
+        self.state = state
+        if state == "draining":
+            self.drained_at = asyncio.get_running_loop().time()
+        spec = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone, "version": "v1",
+                "concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": self.born}
+        await self.stage.store.write("servers", f"i-{self.ident:x}", spec)
+
+    def crash(self):
+        self.alive = False
+        self.socket.close()
+        self.listener.close()
+        self.flows.clear()
+
+    def received(self, raw):
+        if int.from_bytes(raw[:8], "big") != self.ident or not self.alive:
+            return
+        got = Parsed(raw[8:])
+        key = (got.source, got.target)
+        if self.stage.address_of(self.service) != got.target:
+            self.stage.misdelivered += 1
+        if got.flags & SYN:
+            if self.state == "draining" and asyncio.get_running_loop().time() - self.drained_at > 3 and key not in self.flows:
+                self.stage.late_openings += 1
+            flow = self.flows.setdefault(key, {"next": got.seq + 1, "own": random.getrandbits(31), "echo": got.echo, "answer": None})
+            self.send(key, SYN | ACK, flow["own"], flow["next"], got.echo)
+            flow["sent"] = flow["own"] + 1
+            return
+        flow = self.flows.get(key)
+        if flow is None:
+            if not got.flags & RST:
+                self.send(key, RST, got.ack, 0, 0)
+            return
+        if got.data and got.seq == flow["next"]:
+            flow["next"] += len(got.data)
+            flow["answer"] = b"done " + got.data
+            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+        elif got.data and flow["answer"]:
+            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+        elif not got.data and flow["answer"] and got.ack == (flow["sent"] + len(flow["answer"])) & 0xFFFFFFFF:
+            flow["sent"] += len(flow["answer"])
+            flow["answer"] = None
+
+    def send(self, key, flags, seq, ack, echo, data=b""):
+        source, target = key
+        self.socket.sendto(packet(flags, seq, ack, target, source, echo, data, UPSTREAM_SUM), (source[0], self.stage.ingress))
+
+
+class Client:
+    """Sends one request after the other on flows that it keeps open, and checks that each answer is its own."""
+
+    def __init__(self, stage, ip, zone, service):
+        self.stage, self.ip, self.zone, self.service = stage, ip, zone, service
+        self.port, self.flow, self.count = 30000, None, 0
+        self.random = random.Random(ip)
+
+    async def start(self):
+        self.socket = await udp((self.ip, self.stage.ingress), self.received)
+
+    def send(self, flags, seq, ack, data=b""):
+        flow = self.flow
+        instance = self.stage.instance_for(self.zone, (self.ip, flow["port"]))
+        if instance:
+            self.socket.sendto(packet(flags, seq, ack, (self.ip, flow["port"]), self.stage.address_of(self.service), flow["echo"], data),
+                               (instance["ip"], self.stage.ingress))
+
+    def received(self, raw):
+        got, flow = Parsed(raw), self.flow
+        if flow is None or got.target[1] != flow["port"] or flow["event"].is_set():
+            return
+        if got.flags & RST:
+            if got.checksum == 0 and flow["open"] and self.stage.is_held((self.ip, flow["port"])):
+                self.stage.broken += 1
+            flow["reset"] = True
+            flow["event"].set()
+        elif got.flags & SYN and not flow["open"]:
+            flow.update(open=True, echo=got.echo, peer=got.seq + 1)
+            flow["event"].set()
+        elif got.data and got.seq == flow["peer"] & 0xFFFFFFFF:
+            flow["peer"] += len(got.data)
+            flow["echo"] = got.echo or flow["echo"]
+            flow["answer"] = got.data
+            self.send(ACK, flow["seq"], flow["peer"])
+            flow["event"].set()
+
+    async def exchange(self, flags, seq, data=b""):
+        """Sends a packet with its copies until something comes back. @returns whether it did"""
+        self.flow["event"].clear()
+        for copy, pause in enumerate(COPIES):
+            self.send(flags, seq, copy if flags & SYN else self.flow["peer"], data)
+            try:
+                await asyncio.wait_for(self.flow["event"].wait(), pause)
+                return not self.flow["reset"]
+            except asyncio.TimeoutError:
+                pass
+        return False
+
+    async def attempt(self, body):
+        if self.flow is None:
+            self.port += 1
+            seq = self.random.getrandbits(31)
+            self.flow = {"port": self.port, "seq": seq + 1, "peer": 0, "echo": 0, "open": False, "reset": False, "answer": None,
+                         "event": asyncio.Event()}
+            if not await self.exchange(SYN, seq):
+                return False
+        self.flow["answer"] = None
+        seq = self.flow["seq"]
+        self.flow["seq"] += len(body)
+        if not await self.exchange(ACK, seq, body):
+            return False
+        if self.flow["answer"] != b"done " + body:
+            self.stage.wrong += 1
+        return True
+
+    async def request(self):
+        self.count += 1
+        body = f"{self.ip} {self.service} {self.count}".encode()
+        self.stage.asked += 1
+        for _ in range(RETRIES):
+            if await self.attempt(body):
+                self.stage.served += 1
+                return
+            self.flow = None
+
+    async def run(self):
+        while not self.stage.is_over:
+            try:
+                await asyncio.wait_for(self.request(), DEADLINE)
+            except asyncio.TimeoutError:
+                self.flow = None
+            await asyncio.sleep(self.random.uniform(0.02, 0.1))
+
+
+class CookieStage:
+    """One running system with cookie steering."""
+
+    def __init__(self, build, zones=("dc-1", "dc-2"), instances_per_zone=2, clients_per_zone=8, network=77):
+        self.program = os.path.join(build, "apps/sapphirespand/sapphirespand")
+        self.folder = tempfile.TemporaryDirectory(prefix="sapphirespan-")
+        self.ingress, self.peer, self.control, self.readiness, self.store_port = (network * 100 + n for n in (1, 2, 3, 4, 5))
+        self.network, self.zones, self.clients_per_zone = network, zones, clients_per_zone
+        self.instances = [{"name": f"entry-{n + 1}", "ip": f"127.{network}.0.{n + 1}", "zone": zones[n % len(zones)], "process": None, "ready": False}
+                          for n in range(len(zones) * instances_per_zone)]
+        self.upstreams, self.next_ident = [], 0x1001
+        self.asked = self.served = self.wrong = self.broken = self.misdelivered = self.late_openings = 0
+        self.is_over = False
+
+    def address_of(self, service):
+        return SERVICES[service]
+
+    def is_held(self, client):
+        return any(upstream.alive and any(key[0] == client for key in upstream.flows) for upstream in self.upstreams)
+
+    def instance_for(self, zone, client):
+        mine = [i for i in self.instances if i["zone"] == zone]
+        ready = [i for i in mine if i["ready"]] or mine
+        return ready[zlib.crc32(repr(client).encode()) % len(ready)] if ready else None
+
+    def start_instance(self, instance):
+        path = os.path.join(self.folder.name, instance["name"] + ".yaml")
+        seeds = ", ".join(f'"{i["ip"]}:{self.control}"' for i in self.instances[:3])
+        with open(path, "w") as file:
+            file.write(f"steering: cookie\ninstance: {instance['name']}\ndata_centre: {instance['zone']}\n"
+                       f"listen: {{ingress: \"{instance['ip']}:{self.ingress}\", readiness: \"{instance['ip']}:{self.readiness}\","
+                       f" control: \"{instance['ip']}:{self.control}\", peer: \"{instance['ip']}:{self.peer}\"}}\n"
+                       f"platform: \"127.{self.network}.1.1:{self.store_port}\"\nseeds: [{seeds}]\nleave_limit: 6s\n")
+        log = open(os.path.join(self.folder.name, instance["name"] + ".log"), "a")
+        instance["process"] = subprocess.Popen([self.program, f"--settings={path}"], stdout=log, stderr=log)
+
+    async def is_ready(self, instance):
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(instance["ip"], self.readiness), 0.3)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 0.3)
+            writer.close()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def watch_readiness(self):
+        async def check(instance):
+            misses = 0
+            while not self.is_over:
+                is_ready = await self.is_ready(instance)
+                misses = 0 if is_ready else misses + 1
+                instance["ready"] = is_ready or (instance["ready"] and misses < 2)
+                await asyncio.sleep(0.25)
+
+        await asyncio.gather(*(check(instance) for instance in self.instances))
+
+    async def add_upstream(self, service, zone):
+        ident = self.next_ident
+        self.next_ident += 1
+        upstream = Upstream(self, ident, (f"127.{self.network}.2.{ident & 0xFF}", 8080), service, zone)
+        self.upstreams.append(upstream)
+        await upstream.start()
+        return upstream
+
+    async def configure(self, version, extra=0):
+        routes = [{"name": name, "hostname": ip, "path_prefix": f"/{port}/", "service": name} for name, (ip, port) in SERVICES.items()]
+        routes += [{"name": f"r-{n}", "hostname": "198.18.1.1", "path_prefix": f"/{1000 + n}/", "service": "packhouse"} for n in range(extra)]
+        await self.store.write("config", "main", {"version": version, "routes": routes, "services": [], "limits": {"idle_timeout_ms": 15000}})
+
+    async def start(self):
+        self.store = Store()
+        await self.store.start((f"127.{self.network}.1.1", self.store_port))
+        for service in SERVICES:
+            for zone in self.zones:
+                for _ in range(2):
+                    await self.add_upstream(service, zone)
+        await self.configure(3)
+        for instance in self.instances:
+            self.start_instance(instance)
+        self.tasks = [asyncio.create_task(self.watch_readiness())]
+        while not all(instance["ready"] for instance in self.instances):
+            await asyncio.sleep(0.05)
+        names = list(SERVICES)
+        for zone_index, zone in enumerate(self.zones):
+            for index in range(self.clients_per_zone):
+                client = Client(self, f"127.{self.network}.{10 + zone_index}.{index + 1}", zone, names[index % len(names)])
+                await client.start()
+                self.tasks.append(asyncio.create_task(client.run()))
+
+    async def stop(self):
+        self.is_over = True
+        await asyncio.wait(self.tasks, timeout=DEADLINE + 1)
+        for instance in self.instances:
+            if instance["process"].poll() is None:
+                instance["process"].send_signal(signal.SIGCONT)
+                instance["process"].kill()
+            instance["process"].wait()
+
+    def summary(self):
+        return (f"asked {self.asked}, served {self.served}, wrong answers {self.wrong}, broken flows {self.broken}, "
+                f"misdelivered {self.misdelivered}, late on draining upstreams {self.late_openings}, calls to the store {self.store.calls}")
+
+    def is_clean(self, least_served):
+        return not (self.wrong or self.broken or self.misdelivered or self.late_openings) and self.asked > 0 and self.served >= least_served * self.asked
