Keep the flows of an upstream that left the list and still makes progress

Cause: an upstream whose way to the store is cut lapses from the list while it serves, and after 4 s its flows were reset (anUpstreamThatLapsesAndLivesKeepsItsFlows: 14 to 17 broken flows, now 0). Progress within 4 s now outweighs the list.

--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -16,6 +16,10 @@
     store was away is back within two seconds of its return. */
 constexpr Milliseconds certainlyGoneAfter {4000};
 
+/** Progress within this time shows that an upstream that is no longer listed still serves, as when only its way to the
+    store is cut. */
+constexpr Milliseconds signOfLife {4000};
+
 void drop(CookieState &state, std::uint64_t &count, const ClientPacket &packet, const char *reason)
 {
     ++count;
@@ -135,7 +139,8 @@
 
 bool isCertainlyGone(const CookieState &state, const UpstreamRow &row)
 {
-    return row.departedAt && state.now - *row.departedAt > certainlyGoneAfter && knowledgeAge(state) < oldKnowledge;
+    const bool hasSignOfLife = state.now - row.evidence.lastProgress < signOfLife;
+    return row.departedAt && state.now - *row.departedAt > certainlyGoneAfter && !hasSignOfLife && knowledgeAge(state) < oldKnowledge;
 }
 
 void noteStep(CookieState &state, UpstreamRow &row, const FlowStep &step)
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -391,3 +391,16 @@
         BOOST_TEST(fleet->instances[0].decisions->accounts().resetDark == 0U);
     }
 }
+
+/** An upstream that is cut off from the store lapses from its list while it goes on serving: its flows stay. */
+BOOST_AUTO_TEST_CASE(anUpstreamThatLapsesAndLivesKeepsItsFlows)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(withSeed(seed));
+        fleet->remove(0);
+        fleet->run(9s);
+        const auto counts = fleet->takeCounts();
+        checkSafety(counts);
+        BOOST_TEST(counts.failed == 0);
+    }
+}
