Write lines for decisions on flows within a budget, and counters at the control endpoint

LogBudget bounds lines of each kind a second and counts the rest (lines_left_out); /metrics has what was done with packets, upstreams by phase and reachability, age of knowledge.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -1,5 +1,7 @@
 #include "CookieDaemon.h"
 
+#include "CookieMetrics.h"
+
 #include <charconv>
 #include <csignal>
 #include <random>
@@ -35,6 +37,10 @@
 constexpr Milliseconds leaveMargin = 1s;
 
 constexpr const char *snapshotPath = "/knowledge";
+constexpr const char *metricsPath = "/metrics";
+
+/** Lines a second for each kind of decision on flows; a line costs about as much processor time as ten packets. */
+constexpr std::uint32_t flowLinesPerSecond = 5;
 constexpr const char *routesAfterKey = "routes_after";
 constexpr const char *recentOnlyKey = "recent_only";
 
@@ -85,6 +91,7 @@
     : m_settings(settings)
     , m_settingsPath(std::move(settingsPath))
     , m_log(settings.name, settings.logLevel)
+    , m_flowBudget(enumCount<CookieEventKind>, flowLinesPerSecond)
     , m_instance(decisionSettings(settings, m_clock), format, m_clock)
     , m_source(makeSource(m_loop, settings.platform))
     , m_client(m_loop)
@@ -170,7 +177,10 @@
     m_handles.push_back(m_loop.onSignal(SIGTERM, leave));
     m_handles.push_back(m_loop.onSignal(SIGINT, leave));
     m_handles.push_back(m_loop.onSignal(SIGHUP, [this] { reload(true); }));
-    m_handles.push_back(m_loop.every(reloadPeriod, [this] { reload(false); }));
+    m_handles.push_back(m_loop.every(reloadPeriod, [this] {
+        reload(false);
+        logLeftOut();
+    }));
 }
 
 int CookieDaemon::run()
@@ -185,20 +195,28 @@
 HttpResponse CookieDaemon::controlAnswer(const HttpRequest &request) const
 {
     if (request.path == snapshotPath) {
-        const auto routesAfter = request.query.find(routesAfterKey);
-        const auto recentOnly = request.query.find(recentOnlyKey);
-        SnapshotScope scope;
-        if (routesAfter != request.query.end()) {
-            const auto &text = routesAfter->second;
-            std::from_chars(text.data(), text.data() + text.size(), scope.routesAfter); // else everything is sent
-        }
-        scope.isRecentOnly = recentOnly != request.query.end() && recentOnly->second == "1";
-        const auto snapshot = m_instance.snapshot(scope);
-        return snapshot ? HttpResponse {200, encode(*snapshot), "application/msgpack", {}} : HttpResponse {503, "", "text/plain", {}};
+        return snapshotAnswer(request);
+    }
+    if (request.path == metricsPath) {
+        return {200, cookieMetricsText(m_instance), "text/plain; version=0.0.4", {}};
     }
     return {404, "", "text/plain", {}};
 }
 
+HttpResponse CookieDaemon::snapshotAnswer(const HttpRequest &request) const
+{
+    const auto routesAfter = request.query.find(routesAfterKey);
+    const auto recentOnly = request.query.find(recentOnlyKey);
+    SnapshotScope scope;
+    if (routesAfter != request.query.end()) {
+        const auto &text = routesAfter->second;
+        std::from_chars(text.data(), text.data() + text.size(), scope.routesAfter); // else everything is sent
+    }
+    scope.isRecentOnly = recentOnly != request.query.end() && recentOnly->second == "1";
+    const auto snapshot = m_instance.snapshot(scope);
+    return snapshot ? HttpResponse {200, encode(*snapshot), "application/msgpack", {}} : HttpResponse {503, "", "text/plain", {}};
+}
+
 /** Sends what the decisions want sent, and starts what they want tried. */
 void CookieDaemon::carryOut()
 {
@@ -270,6 +288,21 @@
     }
 }
 
+/** Says how many lines on decisions were left out. */
+void CookieDaemon::logLeftOut()
+{
+    const auto leftOut = m_flowBudget.takeLeftOut();
+    Json::Value members(Json::objectValue);
+    for (std::size_t kind = 0; kind < leftOut.size(); ++kind) {
+        if (leftOut[kind] > 0) {
+            members[std::string(nameOf(static_cast<CookieEventKind>(kind)))] = Json::UInt64(leftOut[kind]);
+        }
+    }
+    if (!members.empty()) {
+        m_log.info("lines_left_out", members);
+    }
+}
+
 /** Takes over what may change while the process runs; endpoints and names may not. */
 void CookieDaemon::reload(bool isAsked)
 {
@@ -299,8 +332,8 @@
 
 void CookieDaemon::logEvent(const CookieEvent &event)
 {
-    const bool isAboutFlow = event.flow.has_value();
-    if (isAboutFlow && m_log.level() != "debug") {
+    const bool isBounded = event.flow.has_value() && m_log.level() != "debug";
+    if (isBounded && !m_flowBudget.allows(static_cast<std::size_t>(event.kind), m_clock.steadyNow())) {
         return;
     }
     Json::Value members(Json::objectValue);
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -4,6 +4,7 @@
 #include "sapphirespan_cookie/sapphirespan_cookie.h"
 #include "sapphirespan_net/sapphirespan_net.h"
 #include "sapphirespan_report/logs/JsonLog.h"
+#include "sapphirespan_report/logs/LogBudget.h"
 
 namespace sapphirespan {
 
@@ -31,18 +32,21 @@
     void connectSource();
     void connectSignals();
     HttpResponse controlAnswer(const HttpRequest &request) const;
+    HttpResponse snapshotAnswer(const HttpRequest &request) const;
     void carryOut();
     void fetchSnapshot(const SnapshotRequest &request);
     void tick();
     void checkLeaving();
     void reload(bool isAsked);
     void logEvent(const CookieEvent &event);
+    void logLeftOut();
 
     CookieSettings m_settings;
     std::string m_settingsPath;
     std::string m_settingsText;
     SystemClock m_clock;
     JsonLog m_log;
+    LogBudget m_flowBudget;
     EventLoop m_loop;
     CookieInstance m_instance;
     std::unique_ptr<KnowledgeSource> m_source;
--- /dev/null
+++ b/apps/sapphirespand/CookieMetrics.cpp
@@ -0,0 +1,72 @@
+#include "CookieMetrics.h"
+
+#include <sstream>
+
+namespace sapphirespan {
+
+namespace {
+
+struct Fate {
+    const char *name;
+    std::uint64_t count;
+};
+
+void append(std::ostringstream &text, const char *metric, const char *label, const Fate &fate)
+{
+    text << "sapphirespan_" << metric << '{' << label << "=\"" << fate.name << "\"} " << fate.count << '\n';
+}
+
+void appendPackets(std::ostringstream &text, const CookieAccounts &accounts)
+{
+    text << "# HELP sapphirespan_packets_total Packets of clients by what was done with them.\n# TYPE sapphirespan_packets_total counter\n";
+    for (const auto &fate :
+         {Fate {"forwarded", accounts.forwarded}, Fate {"reset_no_route", accounts.resetNoRoute},
+          Fate {"reset_no_upstream", accounts.resetNoUpstream}, Fate {"reset_dark", accounts.resetDark},
+          Fate {"reset_gone", accounts.resetGone}, Fate {"dropped_malformed", accounts.droppedMalformed},
+          Fate {"dropped_unknown_cookie", accounts.droppedUnknownCookie}, Fate {"dropped_no_route", accounts.droppedNoRoute},
+          Fate {"dropped_wrong_service", accounts.droppedWrongService}}) {
+        append(text, "packets_total", "fate", fate);
+    }
+    text << "# HELP sapphirespan_new_flows_total Openings given an upstream.\n# TYPE sapphirespan_new_flows_total counter\n";
+    append(text, "new_flows_total", "outcome", {"placed", accounts.placed});
+    append(text, "new_flows_total", "outcome", {"moved", accounts.moved});
+}
+
+void appendUpstreams(std::ostringstream &text, const UpstreamDirectory &upstreams)
+{
+    std::array<std::uint64_t, enumCount<ListedPhase>> phases {};
+    std::array<std::uint64_t, enumCount<Reachability>> states {};
+    for (const auto &[cookie, row] : upstreams.rows()) {
+        ++phases[static_cast<std::size_t>(row.entry.phase)];
+        states[static_cast<std::size_t>(row.evidence.state)] += row.entry.phase != ListedPhase::departed ? 1 : 0;
+    }
+    text << "# HELP sapphirespan_upstreams Starts of upstreams by phase.\n# TYPE sapphirespan_upstreams gauge\n";
+    for (std::size_t phase = 0; phase < phases.size(); ++phase) {
+        append(text, "upstreams", "phase", {nameOf(static_cast<ListedPhase>(phase)).data(), phases[phase]});
+    }
+    text << "# HELP sapphirespan_upstream_states Listed upstreams by reachability.\n# TYPE sapphirespan_upstream_states gauge\n";
+    for (std::size_t state = 0; state < states.size(); ++state) {
+        append(text, "upstream_states", "state", {nameOf(static_cast<Reachability>(state)).data(), states[state]});
+    }
+}
+
+} // namespace
+
+std::string cookieMetricsText(const CookieInstance &instance)
+{
+    std::ostringstream text;
+    const auto &state = instance.state();
+    appendPackets(text, instance.accounts());
+    appendUpstreams(text, state.upstreams);
+    const auto age = std::chrono::duration<double>(knowledgeAge(state)).count();
+    text << "# HELP sapphirespan_knowledge_age_seconds Time since the store confirmed what is known.\n"
+            "# TYPE sapphirespan_knowledge_age_seconds gauge\nsapphirespan_knowledge_age_seconds "
+         << age << "\n# TYPE sapphirespan_routes_revision gauge\nsapphirespan_routes_revision " << state.routes.configuration().revision
+         << "\n# TYPE sapphirespan_flows gauge\nsapphirespan_flows " << state.flows.size() << "\n# TYPE sapphirespan_is_watching gauge\n"
+         << "sapphirespan_is_watching " << (state.isWatching ? 1 : 0) << "\n# TYPE sapphirespan_report_bytes_total counter\n"
+         << "sapphirespan_report_bytes_total " << instance.accounts().reportBytes << "\n# TYPE sapphirespan_probes_total counter\n"
+         << "sapphirespan_probes_total " << instance.accounts().probes << '\n';
+    return text.str();
+}
+
+} // namespace sapphirespan
--- a/modules/sapphirespan_report/sapphirespan_report.h
+++ b/modules/sapphirespan_report/sapphirespan_report.h
@@ -9,4 +9,5 @@
 #include "sapphirespan_report/accounts/DecisionAccounts.h"
 #include "sapphirespan_report/burn/BurnReport.h"
 #include "sapphirespan_report/logs/JsonLog.h"
+#include "sapphirespan_report/logs/LogBudget.h"
 #include "sapphirespan_report/metrics/DurationHistogram.h"
--- a/modules/sapphirespan_report/tests/ReportTest.cpp
+++ b/modules/sapphirespan_report/tests/ReportTest.cpp
@@ -62,3 +62,18 @@
     BOOST_TEST(text.find("_bucket{le=\"+Inf\"} 3") != std::string::npos);
     BOOST_TEST(text.find("x_seconds_count 3") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(aLogBudgetBoundsEachKindAndCountsTheRest)
+{
+    LogBudget budget(2, 3);
+    const SteadyTime now(std::chrono::hours(1));
+    int written = 0;
+    for (int line = 0; line < 10; ++line) {
+        written += budget.allows(0, now) ? 1 : 0;
+    }
+    BOOST_TEST(written == 3);
+    BOOST_TEST(budget.allows(1, now));
+    BOOST_TEST(budget.allows(0, now + std::chrono::seconds(1)));
+    BOOST_TEST(budget.takeLeftOut() == (std::vector<std::uint64_t> {7, 0}), boost::test_tools::per_element());
+    BOOST_TEST(budget.takeLeftOut() == (std::vector<std::uint64_t> {0, 0}), boost::test_tools::per_element());
+}
