--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -148,7 +148,7 @@
     m_events.push({clock.steadyNow() + delay, m_order++, std::move(action)});
 }
 
-void CookieFleetModel::every(Milliseconds period, std::function<void()> action)
+void CookieFleetModel::every(Milliseconds period, const std::function<void()> &action)
 {
     after(period, [this, period, action] {
         action();
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -145,7 +145,7 @@
     };
 
     void after(Microseconds delay, std::function<void()> action);
-    void every(Milliseconds period, std::function<void()> action);
+    void every(Milliseconds period, const std::function<void()> &action);
     void carryOut(std::size_t instance);
     void serveStore();
     void checkRotation();
