--- /dev/null
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModelParts.h
@@ -0,0 +1,58 @@
+/** @file
+    What the source files of CookieFleetModel share.
+*/
+#pragma once
+
+#include "CookieFleetModel.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace sapphirespan::model {
+
+using namespace std::chrono_literals;
+
+inline constexpr Microseconds clientDelay = 3ms;
+inline constexpr Microseconds insideDelay = 200us;
+inline constexpr Microseconds outsideDelay = 1400us;
+inline constexpr Microseconds storeDelay = 4ms;
+inline constexpr Microseconds slowLinkDelay = 300ms;
+inline constexpr Milliseconds watchTime = 1s;
+inline constexpr Milliseconds readinessPeriod = 500ms;
+inline constexpr Milliseconds drainBound = 3s;
+inline constexpr std::uint16_t returnPort = 9000;
+inline constexpr std::uint16_t peerPort = 7000;
+inline constexpr std::uint16_t controlPort = 7001;
+inline constexpr int mostRetries = 2;
+inline constexpr std::array<Milliseconds, 2> openingCopies {200ms, 600ms};
+inline constexpr Milliseconds openingEnds = 1400ms;
+inline constexpr std::array<Milliseconds, 4> dataCopies {200ms, 600ms, 1400ms, 3000ms};
+inline constexpr std::uint32_t requestBytes = 100;
+inline constexpr std::uint32_t responseBytes = 1000;
+
+/** @returns the bytes of a packet of the model. */
+inline std::vector<std::uint8_t> bytesOf(const ClientPacket &packet)
+{
+    std::vector<std::uint8_t> bytes(sizeof(ClientPacket));
+    std::memcpy(bytes.data(), &packet, sizeof packet);
+    return bytes;
+}
+
+/** One client that sends a request, waits, pauses and sends the next. */
+struct CookieFleetModel::User {
+    std::string dataCentre;
+    std::uint32_t address = 0;
+    const RequestKind *kind = nullptr;
+    std::uint16_t port = 20000;
+    FlowEnds ends;
+    bool isOpen = false;
+    std::uint64_t attempt = 0; ///< grows with each try; actions of an earlier one are ignored
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    FlowCookie cookie = 0;
+    bool isAsking = false;
+    SteadyTime askedAt {};
+    int retries = 0;
+};
+
+} // namespace sapphirespan::model
--- /dev/null
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModelUpstreams.cpp
@@ -0,0 +1,146 @@
+#include "CookieFleetModelParts.h"
+
+namespace sapphirespan::model {
+
+ModelUpstream *CookieFleetModel::upstreamAt(const Endpoint &address)
+{
+    const auto found = std::find_if(upstreams.rbegin(), upstreams.rend(),
+                                    [&address](const ModelUpstream &upstream) { return toEndpoint(upstream.entry.address) == address; });
+    return found == upstreams.rend() ? nullptr : &*found;
+}
+
+ModelUpstream *CookieFleetModel::holderOf(const FlowEnds &ends)
+{
+    const auto found
+        = std::find_if(upstreams.begin(), upstreams.end(), [&ends](const ModelUpstream &item) { return item.flows.contains(ends); });
+    return found == upstreams.end() ? nullptr : &*found;
+}
+
+void CookieFleetModel::toUpstream(const std::string &fromDataCentre, const Endpoint &to, UpstreamId id, const ClientPacket &packet)
+{
+    auto *upstream = upstreamAt(to);
+    if (upstream == nullptr || upstream->isDark || isCut(fromDataCentre, upstream->entry.dataCentre)) {
+        return;
+    }
+    after(fromDataCentre == upstream->entry.dataCentre ? insideDelay : outsideDelay, [this, upstream, id, packet] {
+        const auto &ends = packet.ends;
+        if (upstream->isDark || upstream->entry.id != id) {
+            m_counts.misdelivered += upstream->entry.id != id ? 1 : 0; // not taken: the header names another
+            return;
+        }
+        const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.address == ends.service; });
+        const bool isOther = route == routes.end() || route->services.front().service != upstream->entry.service;
+        m_counts.takenByOthers += isOther ? 1 : 0;
+        if (!upstream->isListening || (!packet.isOpening && !upstream->flows.contains(ends))) {
+            toClient(ends, [this](User &user) { clientReset(user, false); });
+            return;
+        }
+        if (packet.isOpening) {
+            m_counts.misdelivered += isOther ? 1 : 0;
+            const bool isLate = upstream->drainingSince && clock.steadyNow() - *upstream->drainingSince > drainBound;
+            m_counts.placedOnDraining += isLate && !upstream->flows.contains(ends) ? 1 : 0;
+            upstream->flows.emplace(ends, false);
+            toClient(ends, [this, cookie = packet.cookie](User &user) {
+                if (!user.isOpen) {
+                    user.isOpen = true;
+                    user.cookie = cookie;
+                    user.acknowledged = 1;
+                    sendData(user, 0);
+                }
+            });
+        } else if (packet.payloadBytes > 0 && !upstream->flows[ends]) {
+            upstream->flows[ends] = true;
+            const auto owner = m_flowOwners.find(ends.client);
+            if (owner != m_flowOwners.end()) {
+                const auto mean = static_cast<std::uint64_t>(owner->second->kind->work.count());
+                serve(*upstream, ends, Milliseconds(mean / 2 + draw(mean + 1)));
+            }
+        }
+    });
+}
+
+void CookieFleetModel::serve(ModelUpstream &upstream, const FlowEnds &ends, Milliseconds work)
+{
+    const auto begin = [this, &upstream, ends, work] {
+        ++upstream.running;
+        const auto time = std::chrono::duration_cast<Microseconds>(work * upstream.slowness);
+        after(time, [this, &upstream, ends] {
+            if (upstream.isDark || !upstream.isListening) {
+                return;
+            }
+            if (const auto flow = upstream.flows.find(ends); flow != upstream.flows.end()) {
+                flow->second = false;
+            }
+            toClient(ends, [this](User &user) {
+                if (user.isOpen && user.isAsking) {
+                    user.acknowledged += responseBytes;
+                    endRequest(user, true);
+                }
+            });
+            finishOne(upstream);
+        });
+    };
+    if (upstream.running < upstream.entry.slots) {
+        begin();
+    } else if (upstream.waiting.size() < static_cast<std::size_t>(m_settings.queue)) {
+        upstream.waiting.push_back(begin);
+    } else {
+        upstream.flows[ends] = false;
+        toClient(ends, [this](User &user) { endAttempt(user, true); }); // shed: not run
+    }
+}
+
+void CookieFleetModel::finishOne(ModelUpstream &upstream)
+{
+    --upstream.running;
+    if (!upstream.waiting.empty()) {
+        const auto next = upstream.waiting.front();
+        upstream.waiting.pop_front();
+        next();
+    }
+}
+
+void CookieFleetModel::crash(std::size_t index, bool isSilent)
+{
+    auto &upstream = upstreams[index];
+    upstream.isListening = false;
+    upstream.isDark = isSilent;
+    upstream.flows.clear();
+    upstream.waiting.clear();
+}
+
+void CookieFleetModel::drain(std::size_t index)
+{
+    upstreams[index].entry.phase = ListedPhase::draining;
+    upstreams[index].entry.revision = ++m_revision;
+    upstreams[index].drainingSince = clock.steadyNow();
+    m_history.emplace_back(m_revision, upstreams[index].entry);
+}
+
+void CookieFleetModel::remove(std::size_t index)
+{
+    upstreams[index].entry.phase = ListedPhase::departed;
+    m_history.emplace_back(++m_revision, upstreams[index].entry);
+}
+
+std::size_t CookieFleetModel::addUpstream(const std::string &dataCentre, const std::string &service)
+{
+    return addUpstreamAt(dataCentre, service, {0x0a800000 + static_cast<std::uint32_t>(upstreams.size()), 8080});
+}
+
+std::size_t CookieFleetModel::addUpstreamAt(const std::string &dataCentre, const std::string &service, const Ipv4Endpoint &address)
+{
+    ModelUpstream upstream;
+    upstream.entry.id = m_nextId++;
+    upstream.entry.startedAt = clock.wallNow().time_since_epoch().count();
+    upstream.entry.revision = ++m_revision;
+    upstream.entry.service = service;
+    upstream.entry.address = address;
+    upstream.entry.dataCentre = dataCentre;
+    upstream.entry.slots = m_settings.slots;
+    m_history.emplace_back(m_revision, upstream.entry);
+    upstreams.push_back(std::move(upstream));
+    return upstreams.size() - 1;
+}
+
+} // namespace sapphirespan::model
