--- a/modules/sapphirespan_upstream/tests/UpstreamTest.cpp
+++ b/modules/sapphirespan_upstream/tests/UpstreamTest.cpp
@@ -91,6 +91,22 @@
     BOOST_TEST(chooseUpstream(candidates, 0, 0.01, 1).value() == 1);
 }
 
+/** An upstream was added: the others are within their tolerance of the even load, and nothing would reach it. */
+BOOST_AUTO_TEST_CASE(anAddedUpstreamIsFilledThoughOthersAreWithinTolerance)
+{
+    std::vector<PlacementCandidate> candidates;
+    for (UpstreamOrdinal ordinal = 0; ordinal < 9; ++ordinal) {
+        candidates.push_back({ordinal, 1, 99.0 - ordinal % 3, 0, true});
+    }
+    candidates.push_back({9, 1, 60, 0, true});
+    std::mt19937_64 random(20261204);
+    int filled = 0;
+    for (int flow = 0; flow < 1000; ++flow) {
+        filled += chooseUpstream(candidates, static_cast<UpstreamOrdinal>(flow % 9), 0.06, random()).value() == 9 ? 1 : 0;
+    }
+    BOOST_TEST(filled > 900);
+}
+
 RC_BOOST_PROP(closedOrFullUpstreamsAreNeverChosen, ())
 {
     std::vector<PlacementCandidate> candidates;
