Ask the store by fewer instances after starts and behind a cut

In a data centre that is cut off all 28 instances asked for themselves, 380 calls that failed. Change: who watches only to load stops then; an instance among the first by rank joins the watch when it has been so for 3 s, knowledge is older than 1.2 s, or a peer was turned away; out of touch only the first four ranks ask for those who hear them, the others after 10 s.

--- a/apps/sapphirespand/CookieMetrics.cpp
+++ b/apps/sapphirespand/CookieMetrics.cpp
@@ -62,7 +62,8 @@
             "# TYPE sapphirespan_knowledge_age_seconds gauge\nsapphirespan_knowledge_age_seconds "
          << age << "\n# TYPE sapphirespan_routes_revision gauge\nsapphirespan_routes_revision " << state.routes.configuration().revision
          << "\n# TYPE sapphirespan_flows gauge\nsapphirespan_flows " << state.flows.size() << "\n# TYPE sapphirespan_is_watching gauge\n"
-         << "sapphirespan_is_watching " << (state.isWatching ? 1 : 0) << "\n# TYPE sapphirespan_report_bytes_total counter\n"
+         << "sapphirespan_is_watching " << (state.watch != WatchReason::none ? 1 : 0)
+         << "\n# TYPE sapphirespan_report_bytes_total counter\n"
          << "sapphirespan_report_bytes_total " << instance.accounts().reportBytes << "\n# TYPE sapphirespan_probes_total counter\n"
          << "sapphirespan_probes_total " << instance.accounts().probes << '\n';
     return text.str();
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -158,7 +158,7 @@
 
 bool CookieInstance::wantsStore() const
 {
-    return m_state->isWatching;
+    return m_state->watch != WatchReason::none;
 }
 
 bool CookieInstance::isReady() const
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -22,6 +22,20 @@
 /** Changes in one report at most, so that it stays within a datagram. */
 inline constexpr std::size_t mostChangesInReport = 8;
 
+/** Why an instance asks the store. */
+enum class WatchReason : std::uint8_t {
+    none,
+    toLoad, ///< it knows nothing yet
+    byRank, ///< it watches for the fleet
+    outOfTouch, ///< what it knows is old, whoever should watch
+    count
+};
+
+template<>
+struct NameTable<WatchReason> {
+    static constexpr std::array<std::string_view, enumCount<WatchReason>> names {"", "to_load", "by_rank", "out_of_touch"};
+};
+
 /** All tables of one instance with cookie steering. The systems run over them; nothing else changes them. */
 struct CookieState {
     CookieState(CookieInstanceSettings instanceSettings, const PacketFormat &packetFormat, const Clock &instanceClock);
@@ -57,8 +71,9 @@
     bool isReportUrgent = false;
     bool hasFinding = false; ///< about an upstream that is dark
     std::optional<SteadyTime> storeFailedAt; ///< when a call last failed, until one succeeds
-    bool isWatching = false;
+    WatchReason watch = WatchReason::none;
     SteadyTime watchingSince {};
+    std::optional<SteadyTime> firstByRankSince; ///< since when it has been among the first by rank without a break
 
     std::vector<SnapshotRequest> snapshotRequests;
     SteadyTime lastSnapshotRequest {};
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -24,6 +24,16 @@
     a second, knowledge is rarely older than half of this. */
 constexpr Milliseconds oldestUnwatched {2200};
 
+/** Ranks that do so for the others that they hear, and the age at which the others do it nevertheless. */
+constexpr std::size_t askingForOthers = 4;
+constexpr Milliseconds longestUnwatched {10000};
+
+/** Knowledge younger than this shows that somebody watches: a watcher's wait, and its way here in a few hops. */
+constexpr Milliseconds freshKnowledge {1200};
+
+/** Time for which an instance has to be among the first by rank before it watches beside others; by then it has heard of all. */
+constexpr Milliseconds settlingTime {3000};
+
 /** Each further rank waits this much longer, so that the whole fleet does not ask at once. */
 constexpr Milliseconds rankStagger {150};
 constexpr std::size_t mostStaggered = 6;
@@ -71,7 +81,7 @@
     report.number = state.nextReport++;
     report.phase = phaseOf(state);
     report.reachesStore = reachesStore(state);
-    report.isWatching = state.isWatching;
+    report.isWatching = state.watch != WatchReason::none;
     report.stamp = {state.routes.configuration().revision, state.upstreams.digest()};
     report.knowledgeAgeMs = millisecondsSince(state, std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
     report.hasLoads = !isUrgent;
@@ -134,6 +144,40 @@
     }
 }
 
+/** @returns how long a starting instance waits for a peer's answer. */
+Milliseconds patienceOf(const CookieState &state)
+{
+    if (!state.settings.isFirstStart) {
+        return peersFirst;
+    }
+    return state.settings.isSeed ? Milliseconds(0) : seedsFirst;
+}
+
+bool isFirstByRank(const CookieState &state)
+{
+    const bool hasMet = state.now - state.startedAt > meetingTime;
+    return isLoaded(state) && hasMet && state.peers.isWatcher(reachesStore(state), state.now);
+}
+
+/** While knowledge is fresh somebody else watches, and an instance that takes itself for one of the first may only not have
+    heard of them yet. */
+bool isTakeoverDue(const CookieState &state)
+{
+    const bool isSettled = state.firstByRankSince && state.now - *state.firstByRankSince >= settlingTime;
+    const auto &rows = state.peers.rows();
+    const bool isOneTurnedAway = std::any_of(
+        rows.begin(), rows.end(), [&state](const auto &item) { return isAlive(item.second, state.now) && !item.second.reachesStore; });
+    return isSettled || isOneTurnedAway || knowledgeAge(state) > freshKnowledge;
+}
+
+/** The first few that hear each other ask for all; the store answers one of them as well as any other. */
+bool isOutOfTouch(const CookieState &state)
+{
+    const auto rank = state.peers.rank(state.now);
+    const auto patience = rank < askingForOthers ? oldestUnwatched : longestUnwatched;
+    return knowledgeAge(state) > patience + rankStagger * std::min(rank, mostStaggered);
+}
+
 std::vector<Endpoint> seedPeers(const CookieState &state)
 {
     std::vector<Endpoint> result;
@@ -208,21 +252,29 @@
 
 void decideWatching(CookieState &state)
 {
-    const auto patience = !state.settings.isFirstStart ? peersFirst : (state.settings.isSeed ? Milliseconds(0) : seedsFirst);
-    bool wants = !isLoaded(state) && state.now - state.startedAt >= patience;
-    if (isLoaded(state) && !state.latestLeave) {
-        const auto rank = std::min(state.peers.rank(state.now), mostStaggered);
-        const bool hasMet = state.now - state.startedAt > meetingTime;
-        const bool isOld = knowledgeAge(state) > oldestUnwatched + rankStagger * rank;
-        const bool goesOn = state.isWatching && state.now - state.watchingSince < shortestWatch;
-        wants = isOld || (hasMet && state.peers.isWatcher(reachesStore(state), state.now)) || goesOn;
-    }
-    if (wants == state.isWatching) {
-        return;
+    const bool isByRank = isFirstByRank(state);
+    state.firstByRankSince = isByRank ? std::optional(state.firstByRankSince.value_or(state.now)) : std::nullopt;
+    auto reason = WatchReason::none;
+    if (!isLoaded(state)) {
+        reason = state.now - state.startedAt >= patienceOf(state) ? WatchReason::toLoad : reason;
+    } else if (!state.latestLeave) {
+        const bool goesOn
+            = state.watch != WatchReason::none && state.watch != WatchReason::toLoad && state.now - state.watchingSince < shortestWatch;
+        if (isByRank && (state.watch == WatchReason::byRank || isTakeoverDue(state))) {
+            reason = WatchReason::byRank;
+        } else if (isOutOfTouch(state)) {
+            reason = WatchReason::outOfTouch;
+        } else if (goesOn) {
+            reason = state.watch;
+        }
+    }
+    const bool wasWatching = state.watch != WatchReason::none;
+    const bool isWatching = reason != WatchReason::none;
+    state.watch = reason;
+    if (isWatching != wasWatching) {
+        state.watchingSince = state.now;
+        announce(state, isWatching ? CookieEventKind::watchStarted : CookieEventKind::watchStopped, 0, nameOf(reason));
     }
-    state.isWatching = wants;
-    state.watchingSince = state.now;
-    announce(state, wants ? CookieEventKind::watchStarted : CookieEventKind::watchStopped, 0, "");
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
+
 using namespace sapphirespan;
 using namespace sapphirespan::model;
 using namespace std::chrono_literals;
@@ -30,6 +32,12 @@
     }
 }
 
+int totalStoreCalls(const CookieFleetModel &fleet)
+{
+    return std::accumulate(fleet.instances.begin(), fleet.instances.end(), 0,
+                           [](int sum, const ModelInstance &instance) { return sum + instance.storeCalls; });
+}
+
 /** A fleet that has met and serves. */
 std::unique_ptr<CookieFleetModel> warmFleet(const ModelSettings &settings)
 {
@@ -225,6 +233,64 @@
     BOOST_TEST(large <= 1.2 * small);
 }
 
+/** All instances lose their memory at once: each asks the store for what it lacks, and then leaves the watch to the first by
+    rank, although none knows yet who they are. */
+BOOST_AUTO_TEST_CASE(aFleetThatRestartsAsksTheStoreOnceEach)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto settings = withSeed(seed);
+        settings.instancesPerDataCentre = 15;
+        auto fleet = warmFleet(settings);
+        for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+            fleet->stopInstance(index);
+        }
+        fleet->run(100ms);
+        const int before = totalStoreCalls(*fleet);
+        for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+            fleet->startInstance(index);
+        }
+        constexpr int seconds = 5;
+        for (int step = 0; step < 5 * seconds; ++step) { // upstreams that warm up change several times a second
+            fleet->addUpstream("a", "orders");
+            fleet->run(200ms);
+        }
+        const int forWatchers = static_cast<int>(watcherCount) * 6 * seconds; // at most one for each change and one a second
+        BOOST_TEST(totalStoreCalls(*fleet) - before <= 2 * static_cast<int>(fleet->instances.size()) + forWatchers);
+        for (const auto &instance : fleet->instances) {
+            BOOST_TEST(knowledgeAge(instance.decisions->state()).count() <= 2500);
+        }
+    }
+}
+
+/** A large data centre is cut off from the others and the store: a few of its instances try to reach the store, not all. */
+BOOST_AUTO_TEST_CASE(aDataCentreWithoutTheStoreAsksItByAFewInstances)
+{
+    const auto callsOf = [](int instancesPerDataCentre, std::uint64_t seed) {
+        auto settings = withSeed(seed);
+        settings.instancesPerDataCentre = instancesPerDataCentre;
+        auto fleet = warmFleet(settings);
+        const auto isAway = [](const ModelInstance &instance) { return instance.dataCentre == "c"; };
+        for (auto &instance : fleet->instances) {
+            instance.reachesStore = !isAway(instance);
+        }
+        fleet->isCut = [](const std::string &from, const std::string &to) { return (from == "c") != (to == "c"); };
+        int calls = 0;
+        for (const auto &instance : fleet->instances) {
+            calls -= isAway(instance) ? instance.storeCalls : 0;
+        }
+        fleet->run(6s);
+        for (const auto &instance : fleet->instances) {
+            calls += isAway(instance) ? instance.storeCalls : 0;
+        }
+        return calls;
+    };
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        const int small = callsOf(6, seed);
+        const int large = callsOf(24, seed);
+        BOOST_TEST(large <= 2 * small);
+    }
+}
+
 /** A rolling restart of all instances cuts no flow. */
 BOOST_AUTO_TEST_CASE(aRollingRestartCutsNoFlow)
 {
