Let all agree on who watches the store in a large fleet

Cause: an instance of 78 hears few others directly, and what is told of the rest said nothing of their phase and of whether they reach the store; unheard ones counted as starting and turned away. Change: sightings carry phase and reach, and every report tells of the first four by rank.

--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -110,15 +110,17 @@
 
 void pack(Packer &packer, const PeerSighting &sighting)
 {
-    packHeader(packer, 2);
+    packHeader(packer, 4);
     pack(packer, sighting.card);
     packer.pack(sighting.ageMs);
+    packer.pack(static_cast<std::uint8_t>(sighting.phase));
+    packer.pack(sighting.reachesStore);
 }
 
 PeerSighting sightingFrom(const msgpack::object &object)
 {
-    const auto list = listFrom(object, 2);
-    return {cardFrom(list[0]), numberFrom<std::uint32_t>(list[1])};
+    const auto list = listFrom(object, 4);
+    return {cardFrom(list[0]), numberFrom<std::uint32_t>(list[1]), enumFrom<PeerPhase>(list[2]), boolFrom(list[3])};
 }
 
 void pack(Packer &packer, const Route &route)
--- a/modules/sapphirespan_cookie/peers/PeerReport.h
+++ b/modules/sapphirespan_cookie/peers/PeerReport.h
@@ -55,6 +55,8 @@
 struct PeerSighting {
     PeerCard card;
     std::uint32_t ageMs = 0; ///< since it was last heard
+    PeerPhase phase = PeerPhase::serving; ///< as it said then
+    bool reachesStore = true; ///< as it said then
 };
 
 /** What one instance tells another in one datagram. */
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -16,6 +16,9 @@
     return hash;
 }
 
+/** Peers by rank that every report tells of, so that all agree on who watches although each hears few others. */
+constexpr std::ptrdiff_t firstSighted = 4;
+
 } // namespace
 
 bool isAlive(const PeerRow &row, SteadyTime now)
@@ -65,10 +68,13 @@
     if (sighting.card.incarnation > row.card.incarnation) {
         row.card = sighting.card;
         row.lastNumber = 0;
-        row.phase = PeerPhase::starting;
-        row.phaseSince = now;
     }
-    row.lastAlive = std::max(row.lastAlive, now - Milliseconds(sighting.ageMs));
+    if (const auto seenAt = now - Milliseconds(sighting.ageMs); seenAt > row.lastAlive) {
+        row.phaseSince = sighting.phase != row.phase ? seenAt : row.phaseSince;
+        row.phase = sighting.phase;
+        row.reachesStore = sighting.reachesStore;
+        row.lastAlive = seenAt;
+    }
 }
 
 void PeerTable::forgetSilent(SteadyTime now)
@@ -143,11 +149,14 @@
     for (const auto &[name, row] : m_rows) {
         if (isAlive(row, now)) {
             const auto age = std::chrono::duration_cast<Milliseconds>(now - row.lastAlive);
-            result.push_back({row.card, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0))});
+            result.push_back({row.card, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)), row.phase, row.reachesStore});
         }
     }
     if (result.size() > most) {
-        std::shuffle(result.begin(), result.end(), random);
+        const auto firstOthers = result.begin() + std::min<std::ptrdiff_t>(firstSighted, static_cast<std::ptrdiff_t>(most));
+        std::partial_sort(result.begin(), firstOthers, result.end(),
+                          [](const PeerSighting &a, const PeerSighting &b) { return rankKey(a.card.name) < rankKey(b.card.name); });
+        std::shuffle(firstOthers, result.end(), random);
         result.resize(most);
     }
     return result;
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -81,7 +81,7 @@
     /** @returns the peers that get the next report. @param isUrgent whether other data centres get one in any case */
     std::vector<Endpoint> targets(bool isUrgent, SteadyTime now, std::mt19937_64 &random);
 
-    /** @returns some peers that are alive, for a report. */
+    /** @returns some peers that are alive, for a report: the first by rank, and others at random. */
     std::vector<PeerSighting> sightings(SteadyTime now, std::size_t most, std::mt19937_64 &random) const;
 
     std::map<std::string, PeerRow> &rows()
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -233,6 +233,25 @@
     BOOST_TEST(large <= 1.2 * small);
 }
 
+/** In a large fleet each instance hears few others directly; all the same they agree on who watches the store. */
+BOOST_AUTO_TEST_CASE(aLargeFleetKeepsItsWatchers)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto settings = withSeed(seed);
+        settings.instancesPerDataCentre = 26;
+        auto fleet = warmFleet(settings);
+        constexpr int samples = 100;
+        int watching = 0;
+        for (int sample = 0; sample < samples; ++sample) {
+            fleet->run(100ms);
+            watching += static_cast<int>(std::count_if(fleet->instances.begin(), fleet->instances.end(),
+                                                       [](const auto &instance) { return instance.decisions->wantsStore(); }));
+        }
+        BOOST_TEST(watching >= static_cast<int>(watcherCount) * samples * 9 / 10);
+        BOOST_TEST(watching <= static_cast<int>(watcherCount) * samples * 11 / 10);
+    }
+}
+
 /** All instances lose their memory at once: each asks the store for what it lacks, and then leaves the watch to the first by
     rank, although none knows yet who they are. */
 BOOST_AUTO_TEST_CASE(aFleetThatRestartsAsksTheStoreOnceEach)
