Ask any instance that knows when starting, not the seeds alone

Test: LoadPatternTest/aStartingCrowdAsksAllWhoKnow (58 of 90 ready after 2 s, bound all) failed first, with instances that answer 20 times a second at most.

--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
@@ -221,7 +221,7 @@
     if (isLoaded(state) && (askForRoutes(state) || askForUpstreams(state))) {
         return;
     }
-    if (!isLoaded(state)) {
+    if (!isLoaded(state) && !askOneOf(state, {}, [](const PeerRow &) { return true; })) {
         askSeed(state);
     }
 }
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -252,6 +252,28 @@
     }
 }
 
+/** Many instances of a large fleet are restarted at once: those that know all are asked alike, not the seeds alone, which
+    could not answer so many. */
+BOOST_AUTO_TEST_CASE(aStartingCrowdAsksAllWhoKnow)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto settings = withSeed(seed);
+        settings.instancesPerDataCentre = 30;
+        settings.instancesAnswerAtATime = 2;
+        auto fleet = warmFleet(settings);
+        fleet->isStoreAway = true;
+        for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+            if (index % 3 != 0) {
+                fleet->startInstance(index);
+            }
+        }
+        fleet->run(2s);
+        const auto ready = std::count_if(fleet->instances.begin(), fleet->instances.end(),
+                                         [](const auto &instance) { return instance.decisions->isReady(); });
+        BOOST_TEST(ready == static_cast<std::ptrdiff_t>(fleet->instances.size()));
+    }
+}
+
 /** All instances lose their memory at once: each asks the store for what it lacks, and then leaves the watch to the first by
     rank, although none knows yet who they are. */
 BOOST_AUTO_TEST_CASE(aFleetThatRestartsAsksTheStoreOnceEach)
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -215,7 +215,14 @@
             if (other.peer.address != request.control.address || !other.isRunning || isCut(instance.dataCentre, other.dataCentre)) {
                 continue;
             }
+            while (!other.answeredAt.empty() && clock.steadyNow() - other.answeredAt.front() >= 100ms) {
+                other.answeredAt.pop_front();
+            }
+            if (other.answeredAt.size() >= static_cast<std::size_t>(m_settings.instancesAnswerAtATime)) {
+                continue;
+            }
             if (const auto snapshot = other.decisions->snapshot(request.scope)) {
+                other.answeredAt.push_back(clock.steadyNow());
                 ++other.snapshotsServed;
                 after(4 * outsideDelay, [this, index, snapshot] {
                     instances[index].decisions->beginBatch();
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -33,6 +33,7 @@
     int upstreamsPerDataCentre = 4;
     std::uint16_t slots = 2;
     int queue = 8;
+    int instancesAnswerAtATime = 1000; ///< snapshots that an instance sends in one tenth of a second; others get no answer
     int usersPerDataCentre = 60;
     Milliseconds think {400}; ///< mean pause of a user between requests
     std::vector<RequestKind> kinds {RequestKind {}};
@@ -85,6 +86,7 @@
     int storeCalls = 0;
     int starts = 0;
     int snapshotsServed = 0;
+    std::deque<SteadyTime> answeredAt; ///< snapshots in the last tenth of a second
     bool isFrozen = false;
     std::vector<std::vector<std::uint8_t>> waitingPackets; ///< in its socket while it stands still
 };
