Choose among the upstreams of a service only, and judge data centres by those that stall

Change: the directory keeps the listed starts by service; data centres are looked at when two flows there stall. Tests: CookieTest/listsByServiceFollowEveryChange (RapidCheck), and LoadPatternTest/aStartingInstanceSpreadsWhatItAsks, which fails when the first peer is always asked (1 of 10, bound 5): snapshotsAreSpreadOverPeers does not show that.

--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
@@ -46,14 +46,25 @@
     return found == m_latest.end() ? nullptr : &m_rows.at(found->second);
 }
 
-/** Replaces a row's entry and keeps the digest of listed entries up to date. */
+void UpstreamDirectory::unlist(UpstreamRow &row)
+{
+    const auto listed = m_listed.find(row.entry.service);
+    std::erase(listed->second, &row);
+    if (listed->second.empty()) {
+        m_listed.erase(listed);
+    }
+}
+
+/** Replaces a row's entry and keeps the digest and the lists of listed entries up to date. */
 void UpstreamDirectory::store(UpstreamRow &row, const UpstreamEntry &entry, SteadyTime now)
 {
     if (row.entry.id != 0 && row.entry.phase != ListedPhase::departed) {
         m_digest ^= digestOf(row.entry);
+        unlist(row);
     }
     if (entry.phase != ListedPhase::departed) {
         m_digest ^= digestOf(entry);
+        m_listed[entry.service].push_back(&row);
         row.departedAt.reset();
     } else if (!row.departedAt) {
         row.departedAt = now;
@@ -183,6 +194,13 @@
     return result;
 }
 
+const std::vector<UpstreamRow *> &UpstreamDirectory::listedOf(const std::string &service) const
+{
+    static const std::vector<UpstreamRow *> none;
+    const auto listed = m_listed.find(service);
+    return listed != m_listed.end() ? listed->second : none;
+}
+
 std::size_t UpstreamDirectory::listedCount() const
 {
     return static_cast<std::size_t>(
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
@@ -77,6 +77,10 @@
 public:
     using Rows = std::unordered_map<FlowCookie, UpstreamRow>;
 
+    UpstreamDirectory() = default;
+    UpstreamDirectory(const UpstreamDirectory &) = delete;
+    UpstreamDirectory &operator=(const UpstreamDirectory &) = delete;
+
     /** Takes in one entry. @returns whether it changed what is known */
     bool merge(const UpstreamEntry &entry, SteadyTime now);
 
@@ -106,6 +110,9 @@
         return m_digest;
     }
 
+    /** @returns the listed starts of a service, in no order; ambiguous ones too. Valid until the next change. */
+    const std::vector<UpstreamRow *> &listedOf(const std::string &service) const;
+
     /** @returns how many starts are listed. */
     std::size_t listedCount() const;
 
@@ -122,9 +129,11 @@
 private:
     UpstreamRow *latestOf(UpstreamId id);
     void store(UpstreamRow &row, const UpstreamEntry &entry, SteadyTime now);
+    void unlist(UpstreamRow &row);
     std::optional<UpstreamEntry> mark(UpstreamId id, ListedPhase phase, std::uint64_t revision, SteadyTime now);
 
     Rows m_rows;
+    std::unordered_map<std::string, std::vector<UpstreamRow *>> m_listed; ///< by service; rows stay where they are in their map
     std::unordered_map<UpstreamId, FlowCookie> m_latest; ///< by id: the start with the highest revision
     std::uint64_t m_digest = 0;
 };
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -47,9 +47,9 @@
     return isInDoubt(row.evidence, context.now) ? ChoiceClass::inDoubt : ChoiceClass::fine;
 }
 
-bool isCandidate(const UpstreamRow &row, const ChoiceContext &context)
+bool isCandidate(const UpstreamRow &row)
 {
-    return row.entry.phase == ListedPhase::ready && !row.isAmbiguous && row.entry.service == context.service;
+    return row.entry.phase == ListedPhase::ready && !row.isAmbiguous;
 }
 
 double flowsAt(const UpstreamRow &row)
@@ -70,9 +70,10 @@
     double slots = 0;
     double flows = 0;
     double weight = 0;
-    for (const auto &[cookie, row] : directory.rows()) {
+    for (const auto *listed : directory.listedOf(context.service)) {
+        const auto &row = *listed;
         const bool isStarting = context.now - row.learnedAt < slowStartTime;
-        if (isCandidate(row, context) && row.evidence.state == Reachability::fine && !isStarting) {
+        if (isCandidate(row) && row.evidence.state == Reachability::fine && !isStarting) {
             slots += row.entry.slots;
             flows += flowsAt(row);
             usual.responseMs += row.load.responseMs;
@@ -115,8 +116,9 @@
     UpstreamRow *best = nullptr;
     auto bestClass = ChoiceClass::fine;
     double bestLoad = 0;
-    for (auto &[cookie, row] : directory.rows()) {
-        if (!isCandidate(row, context)) {
+    for (auto *listed : directory.listedOf(context.service)) {
+        auto &row = *listed;
+        if (!isCandidate(row)) {
             continue;
         }
         double load = loadOf(row, context, usual.load);
@@ -126,7 +128,7 @@
         if (row.entry.dataCentre != context.dataCentre) {
             load = load * remoteLoadFactor + remoteLoadOffset;
         }
-        load += (load + 1.0 / row.entry.slots) * tieBreakWidth * tieBreak(cookie, context.random);
+        load += (load + 1.0 / row.entry.slots) * tieBreakWidth * tieBreak(row.cookie, context.random);
         const auto rank = classOf(row, context);
         if (best == nullptr || rank < bestClass || (rank == bestClass && load < bestLoad)) {
             best = &row;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -2,6 +2,8 @@
 
 #include "sapphirespan_cookie/systems/CookiePacketSystem.h"
 
+#include <algorithm>
+
 namespace sapphirespan {
 
 namespace {
@@ -12,12 +14,6 @@
 /** Flows that stall in another data centre, at any of its upstreams, before all of them are probed. */
 constexpr int stalledToSuspectDataCentre = 2;
 
-/** What the packets of all flows to one data centre tell together. */
-struct DataCentreEvidence {
-    int stalled = 0;
-    SteadyTime lastProgress {};
-};
-
 /** Makes all upstreams of another data centre suspect that made no progress lately. */
 void suspectDataCentre(CookieState &state, const std::string &dataCentre)
 {
@@ -32,21 +28,33 @@
     }
 }
 
+/** Known to be out of reach by itself, or not there any more. */
+bool isSettled(const UpstreamRow &row)
+{
+    return row.entry.phase == ListedPhase::departed || row.evidence.state == Reachability::dark;
+}
+
+bool makesProgress(const CookieState &state, const std::string &dataCentre)
+{
+    const auto &rows = state.upstreams.rows();
+    return std::any_of(rows.begin(), rows.end(), [&](const auto &item) {
+        const auto &row = item.second;
+        return !isSettled(row) && row.entry.dataCentre == dataCentre && state.now - row.evidence.lastProgress < suspectAfter;
+    });
+}
+
 /** A data centre that is cut off makes no progress at any upstream; each alone may have too few flows to show it. */
 void judgeDataCentres(CookieState &state)
 {
-    std::map<std::string_view, DataCentreEvidence> dataCentres;
+    std::map<std::string_view, int> stalled;
     for (const auto &[cookie, row] : state.upstreams.rows()) {
-        if (row.entry.phase == ListedPhase::departed || row.evidence.state == Reachability::dark) {
-            continue; // known to be out of reach by itself
+        if (const int flows = row.evidence.stalledFlows + row.evidence.stalledOpenings; flows > 0 && !isSettled(row)) {
+            stalled[row.entry.dataCentre] += flows;
         }
-        auto &evidence = dataCentres[row.entry.dataCentre];
-        evidence.stalled += row.evidence.stalledFlows + row.evidence.stalledOpenings;
-        evidence.lastProgress = std::max(evidence.lastProgress, row.evidence.lastProgress);
     }
-    for (const auto &[dataCentre, evidence] : dataCentres) {
-        if (evidence.stalled >= stalledToSuspectDataCentre && state.now - evidence.lastProgress >= suspectAfter) {
-            suspectDataCentre(state, std::string(dataCentre));
+    for (const auto &[name, flows] : stalled) {
+        if (const std::string dataCentre(name); flows >= stalledToSuspectDataCentre && !makesProgress(state, dataCentre)) {
+            suspectDataCentre(state, dataCentre);
         }
     }
 }
--- a/modules/sapphirespan_cookie/tests/CookieTest.cpp
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -131,6 +131,55 @@
     BOOST_TEST(holds);
 }
 
+/** The lists by service hold exactly the listed rows of each, whatever happened in whatever order. */
+BOOST_AUTO_TEST_CASE(listsByServiceFollowEveryChange)
+{
+    const std::array<std::string, 3> services {"orders", "labels", "none"};
+    const bool holds = rc::check("lists hold what is listed", [&services] {
+        UpstreamDirectory directory;
+        SteadyTime now = start;
+        const auto steps = *rc::gen::inRange(1, 40);
+        for (int step = 1; step <= steps; ++step) {
+            const auto id = *rc::gen::inRange<UpstreamId>(1, 5);
+            const auto phase = *rc::gen::element(ListedPhase::ready, ListedPhase::draining, ListedPhase::departed);
+            auto entry = entryOf(id, *rc::gen::inRange<std::int64_t>(1, 3), static_cast<std::uint64_t>(step), phase);
+            entry.service = services[static_cast<std::size_t>(*rc::gen::inRange(0, 2))];
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                directory.depart(id, 0, now);
+                break;
+            case 1:
+                directory.markUnreadable(id, 0, now);
+                break;
+            case 2:
+                directory.replaceAll({static_cast<std::uint64_t>(step), {entry}, {}}, now);
+                break;
+            case 3:
+                directory.forgetDeparted(now - 3s);
+                break;
+            default:
+                directory.merge(entry, now);
+            }
+            now += 1s;
+        }
+        for (const auto &service : services) {
+            std::set<FlowCookie> expected;
+            for (const auto &[cookie, row] : directory.rows()) {
+                if (row.entry.phase != ListedPhase::departed && row.entry.service == service) {
+                    expected.insert(cookie);
+                }
+            }
+            std::set<FlowCookie> found;
+            for (const auto *row : directory.listedOf(service)) {
+                found.insert(row->cookie);
+            }
+            RC_ASSERT(found == expected);
+            RC_ASSERT(found.size() == directory.listedOf(service).size());
+        }
+    });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(forgetsDepartedStartsAfterTheirFlows)
 {
     UpstreamDirectory directory;
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <numeric>
+#include <set>
 
 using namespace sapphirespan;
 using namespace sapphirespan::model;
@@ -440,6 +441,36 @@
     BOOST_TEST(most <= static_cast<int>(fleet->instances.size()) / 2);
 }
 
+/** A starting instance that has heard of many peers asks now one, now another. */
+BOOST_AUTO_TEST_CASE(aStartingInstanceSpreadsWhatItAsks)
+{
+    const ModelFormat format;
+    ManualClock clock;
+    CookieInstanceSettings settings;
+    settings.name = "entry-new";
+    settings.dataCentre = "a";
+    CookieInstance instance(settings, format, clock);
+    std::set<Endpoint> asked;
+    constexpr int peers = 10;
+    for (std::uint64_t round = 1; round <= 30; ++round) {
+        for (std::uint32_t number = 0; number < peers; ++number) {
+            PeerReport report;
+            const auto endpoint = toEndpoint({0x0a000001 + number, 7720});
+            report.sender = {"entry-" + std::to_string(number), 1, "a", endpoint, endpoint};
+            report.number = round;
+            report.phase = PeerPhase::serving;
+            instance.beginBatch();
+            instance.peerDatagramArrived(encode(report));
+        }
+        instance.tick();
+        for (const auto &request : instance.takeSnapshotRequests()) {
+            asked.insert(request.control);
+        }
+        clock.advance(200ms);
+    }
+    BOOST_TEST(asked.size() >= peers / 2U);
+}
+
 /** An instance that hears neither store nor peers goes on serving, and knows how old its knowledge is. */
 BOOST_AUTO_TEST_CASE(anInstanceOnItsOwnKnowsTheAgeOfItsKnowledge)
 {
