Hold packets while an instance learns, and ask the store 20 ms after a start

Ruled out: linking (0.25 M cycles in the loader). Change: up to 400 packets are held for up to 300 ms and decided on as soon as knowledge is there; one more tick after 20 ms asks the store if no peer has answered. Tests: LoadPatternTest/packetsThatComeDuringTheStartAreSentOn (nothing was sent on before) and packetsAreHeldNeitherForLongNorInAnyNumber.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -14,6 +14,9 @@
 
 constexpr Milliseconds tickPeriod = 50ms;
 
+/** Time after the start of one more tick, so that the store is asked as soon as no peer has answered. */
+constexpr Milliseconds startTick = 20ms;
+
 /** Time between two looks at the settings file. */
 constexpr Milliseconds reloadPeriod = 2s;
 
@@ -187,6 +190,7 @@
 {
     m_log.info("instance_started", fields({{"ingress", m_settings.ingress.toText()}, {"data_centre", m_settings.dataCentre}}));
     tick();
+    m_handles.push_back(m_loop.after(startTick, [this] { tick(); }));
     m_loop.run();
     m_log.info("instance_stopped");
     return 0;
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -129,6 +129,7 @@
         state.behindUntil = state.now + catchUpTime;
     }
     state.lastTick = state.now;
+    releaseHeldPackets(state);
     if (state.now >= state.behindUntil) {
         judgeUpstreams(state);
     }
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -41,7 +41,7 @@
     std::uint64_t resetGone = 0; ///< open flows ended because their upstream has departed
     std::uint64_t droppedMalformed = 0;
     std::uint64_t droppedUnknownCookie = 0;
-    std::uint64_t droppedNoRoute = 0; ///< while routes are unknown or old
+    std::uint64_t droppedNoRoute = 0; ///< while routes are old, or unknown for too long
     std::uint64_t reportsSent = 0;
     std::uint64_t reportBytes = 0;
     std::uint64_t probes = 0;
--- a/modules/sapphirespan_cookie/state/CookieOutbox.h
+++ b/modules/sapphirespan_cookie/state/CookieOutbox.h
@@ -52,6 +52,12 @@
         m_outputs.push_back({kind, to, {}, m_owned.back()});
     }
 
+    /** Keeps bytes that outputs may point into until the outbox is cleared. @returns where they are */
+    std::span<std::uint8_t> keep(std::vector<std::uint8_t> bytes)
+    {
+        return m_owned.emplace_back(std::move(bytes));
+    }
+
     const std::vector<CookieOutput> &outputs() const
     {
         return m_outputs;
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -22,6 +22,18 @@
 /** Changes in one report at most, so that it stays within a datagram. */
 inline constexpr std::size_t mostChangesInReport = 8;
 
+/** A client's packet that came before routes and upstreams were known. */
+struct HeldPacket {
+    std::vector<std::uint8_t> bytes;
+    SteadyTime arrivedAt {};
+};
+
+/** Time for which such a packet is worth sending on; its client repeats it after 200 ms, and later ones far apart. */
+inline constexpr Milliseconds longestHold {300};
+
+/** Packets held at most: half a megabyte of the largest. */
+inline constexpr std::size_t mostHeld = 400;
+
 /** Why an instance asks the store. */
 enum class WatchReason : std::uint8_t {
     none,
@@ -63,6 +75,7 @@
     std::deque<RecentChange> changes;
 
     FlowBook flows;
+    std::deque<HeldPacket> held; ///< in the order of their arrival
 
     PeerTable peers;
     std::uint64_t nextReport = 1;
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -56,7 +56,7 @@
 
 void handleUnroutable(CookieState &state, const ClientPacket &packet)
 {
-    if (!state.routes.isLoaded() || knowledgeAge(state) > oldKnowledge) {
+    if (knowledgeAge(state) > oldKnowledge) {
         drop(state, state.accounts.droppedNoRoute, packet, "no route is known, and routes may be out of date");
         return;
     }
@@ -106,10 +106,6 @@
         handleUnroutable(state, packet);
         return;
     }
-    if (!state.areUpstreamsLoaded) {
-        drop(state, state.accounts.droppedNoRoute, packet, "upstreams are not known yet");
-        return;
-    }
     if (route->services.empty()) {
         rejectOpening(state, state.accounts.resetNoUpstream, packet, "the route has no service");
         return;
@@ -194,12 +190,8 @@
     }
 }
 
-} // namespace
-
-void handleClientPacket(CookieState &state, std::span<std::uint8_t> bytes)
+void decideOn(CookieState &state, std::span<std::uint8_t> bytes)
 {
-    ++state.accounts.packets;
-    state.lastPacket = state.now;
     const auto packet = state.format.decode(bytes);
     if (!packet) {
         ++state.accounts.droppedMalformed;
@@ -212,6 +204,45 @@
     }
 }
 
+void dropOutdated(CookieState &state)
+{
+    while (!state.held.empty() && (state.held.size() > mostHeld || state.now - state.held.front().arrivedAt > longestHold)) {
+        ++state.accounts.droppedNoRoute;
+        state.held.pop_front();
+    }
+}
+
+/** An instance learns routes and upstreams within a tenth of a second of its start; clients would repeat later. */
+void hold(CookieState &state, std::span<const std::uint8_t> bytes)
+{
+    state.held.push_back({{bytes.begin(), bytes.end()}, state.now});
+    dropOutdated(state);
+}
+
+} // namespace
+
+void handleClientPacket(CookieState &state, std::span<std::uint8_t> bytes)
+{
+    ++state.accounts.packets;
+    state.lastPacket = state.now;
+    if (!isLoaded(state)) {
+        hold(state, bytes);
+        return;
+    }
+    decideOn(state, bytes);
+}
+
+void releaseHeldPackets(CookieState &state)
+{
+    dropOutdated(state);
+    if (!isLoaded(state)) {
+        return;
+    }
+    for (auto &packet : std::exchange(state.held, {})) {
+        decideOn(state, state.outbox.keep(std::move(packet.bytes)));
+    }
+}
+
 void resetFlowsOf(CookieState &state, const UpstreamRow &row)
 {
     for (auto &[ends, flow] : state.flows) {
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -14,7 +14,7 @@
 
 /** Time for which a starting instance waits for a peer's answer before it asks the store; longer when a fleet starts for
     the first time, and only seeds ask the store at once. */
-constexpr Milliseconds peersFirst {50};
+constexpr Milliseconds peersFirst {20};
 constexpr Milliseconds seedsFirst {1500};
 
 /** Time after the start in which instances that know nothing of their peers do not watch yet. */
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstring>
 #include <numeric>
 #include <set>
 
@@ -471,6 +472,80 @@
     BOOST_TEST(asked.size() >= peers / 2U);
 }
 
+namespace {
+
+ClientPacket openingOf(std::uint16_t clientPort)
+{
+    ClientPacket packet;
+    packet.ends = {{0x64400001, clientPort}, {0xc6120001, 443}};
+    packet.isOpening = true;
+    packet.sequence = clientPort;
+    return packet;
+}
+
+/** An instance that has just started, and what it learns a moment later. */
+struct StartingInstance {
+    ModelFormat format;
+    ManualClock clock;
+    CookieInstance instance {CookieInstanceSettings {}, format, clock};
+
+    void receive(std::uint16_t clientPort)
+    {
+        auto bytes = format.reset({}, 0);
+        const auto packet = openingOf(clientPort);
+        std::memcpy(bytes.data(), &packet, sizeof packet);
+        instance.beginBatch();
+        instance.packetArrived(bytes);
+    }
+
+    std::size_t learnAndForward()
+    {
+        instance.beginBatch();
+        UpstreamEntry entry;
+        entry.id = 7;
+        entry.revision = 1;
+        entry.service = "orders";
+        entry.address = {0x0a800001, 8080};
+        instance.upstreamsListed({1, {entry}, {}});
+        instance.routesArrived({1, 1, 15s, {{{0xc6120001, 443}, {{"orders", 1}}}}});
+        instance.storeConfirmed(KnowledgePart::routes);
+        instance.tick();
+        const auto &outputs = instance.outbox().outputs();
+        return static_cast<std::size_t>(std::count_if(outputs.begin(), outputs.end(),
+                                                      [](const CookieOutput &output) { return output.kind == CookieOutputKind::forward; }));
+    }
+};
+
+} // namespace
+
+/** All instances have lost power and clients repeat ever more rarely: what comes while an instance is still learning is not
+    lost, but sent on as soon as it knows. */
+BOOST_AUTO_TEST_CASE(packetsThatComeDuringTheStartAreSentOn)
+{
+    StartingInstance start;
+    start.receive(1);
+    start.clock.advance(60ms);
+    start.receive(2);
+    BOOST_TEST(start.instance.outbox().outputs().empty());
+    start.clock.advance(30ms);
+    BOOST_TEST(start.learnAndForward() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(packetsAreHeldNeitherForLongNorInAnyNumber)
+{
+    StartingInstance old;
+    old.receive(1);
+    old.clock.advance(longestHold + 1ms);
+    old.receive(2);
+    BOOST_TEST(old.learnAndForward() == 1U);
+    StartingInstance full;
+    for (std::uint16_t port = 1; port <= 3 * mostHeld; ++port) {
+        full.receive(port);
+    }
+    BOOST_TEST(full.learnAndForward() == mostHeld);
+    BOOST_TEST(full.instance.accounts().droppedNoRoute == 2 * mostHeld);
+}
+
 /** An instance that hears neither store nor peers goes on serving, and knows how old its knowledge is. */
 BOOST_AUTO_TEST_CASE(anInstanceOnItsOwnKnowsTheAgeOfItsKnowledge)
 {
