--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -126,6 +126,11 @@
     return evidence.state == Reachability::suspect || (evidence.state == Reachability::dark && now >= evidence.darkUntil);
 }
 
+bool isOpenToJudge(const UpstreamEvidence &evidence)
+{
+    return evidence.state != Reachability::fine || evidence.unansweredSince || evidence.stalledFlows > 0 || evidence.stalledOpenings > 0;
+}
+
 void forgetFindings(UpstreamEvidence &evidence, SteadyTime now)
 {
     evidence.lastProgress = now;
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -116,6 +116,9 @@
 /** @returns whether the upstream should be probed now: suspect, or dark and its time is over. */
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now);
 
+/** @returns whether there is anything to judge or to probe: an opening or data without an answer, a suspicion, a finding. */
+bool isOpenToJudge(const UpstreamEvidence &evidence);
+
 /** Drops all findings, as after a pause in which nothing could be seen. */
 void forgetFindings(UpstreamEvidence &evidence, SteadyTime now);
 
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <random>
+#include <unordered_set>
 
 namespace sapphirespan {
 
@@ -69,6 +70,7 @@
 
     UpstreamDirectory upstreams;
     RouteDirectory routes;
+    std::unordered_set<FlowCookie> toJudge; ///< all upstreams that are open to judge, and some that no longer are
     bool areUpstreamsLoaded = false;
     SteadyTime upstreamsConfirmedAt {}; ///< when the store is known to have listed exactly these upstreams
     SteadyTime routesConfirmedAt {}; ///< when the store is known to have held exactly these routes
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -23,6 +23,7 @@
     for (auto &[cookie, row] : state.upstreams.rows()) {
         const bool isMember = row.entry.dataCentre == dataCentre && row.entry.phase != ListedPhase::departed;
         if (isMember && suspectForOthers(row.evidence, state.now)) {
+            state.toJudge.insert(cookie);
             announce(state, CookieEventKind::upstreamSuspect, cookie, "no flow to its data centre makes progress");
         }
     }
@@ -47,9 +48,10 @@
 void judgeDataCentres(CookieState &state)
 {
     std::map<std::string_view, int> stalled;
-    for (const auto &[cookie, row] : state.upstreams.rows()) {
-        if (const int flows = row.evidence.stalledFlows + row.evidence.stalledOpenings; flows > 0 && !isSettled(row)) {
-            stalled[row.entry.dataCentre] += flows;
+    for (const auto cookie : state.toJudge) {
+        const auto *row = state.upstreams.find(cookie);
+        if (row != nullptr && !isSettled(*row)) {
+            stalled[row->entry.dataCentre] += row->evidence.stalledFlows + row->evidence.stalledOpenings;
         }
     }
     for (const auto &[name, flows] : stalled) {
@@ -87,8 +89,13 @@
 
 void judgeUpstreams(CookieState &state)
 {
+    std::erase_if(state.toJudge, [&state](FlowCookie cookie) {
+        const auto *row = state.upstreams.find(cookie);
+        return row == nullptr || !isOpenToJudge(row->evidence);
+    });
     judgeDataCentres(state);
-    for (auto &[cookie, row] : state.upstreams.rows()) {
+    for (const auto cookie : state.toJudge) {
+        auto &row = *state.upstreams.find(cookie);
         if (judge(row.evidence, state.now)) {
             announce(state, CookieEventKind::upstreamSuspect, cookie, "flows repeat packets without progress");
         }
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -92,6 +92,7 @@
     flow.openedAt = state.now;
     ++row->load.activeFlows;
     noteOpening(row->evidence, state.now);
+    state.toJudge.insert(row->cookie);
     ++(avoided != 0 ? state.accounts.moved : state.accounts.placed);
     announce(state, avoided != 0 ? CookieEventKind::flowMoved : CookieEventKind::flowPlaced, packet.ends, row->cookie,
              avoided != 0 ? "its opening was not answered" : "");
@@ -120,6 +121,7 @@
     if (flow.phase == FlowPhase::opening && state.now - flow.openedAt >= shortestRepetition) {
         if (flow.repeats++ == 0 && row != nullptr) {
             noteStall(row->evidence, true);
+            state.toJudge.insert(row->cookie);
         }
         if (shouldMove(state, row)) {
             place(state, packet, *route, bytes, flow.cookie);
@@ -147,6 +149,7 @@
     }
     if (step.isFirstRepeat) {
         noteStall(row.evidence, false);
+        state.toJudge.insert(row.cookie);
     }
     if (step.isNewRequest) {
         ++load.waitingRequests;
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -139,6 +139,7 @@
     for (const auto &dark : report.dark) {
         auto *row = state.upstreams.find(dark.cookie);
         if (row != nullptr && noteDarkAtPeer(row->evidence, Milliseconds(dark.ageMs), state.now)) {
+            state.toJudge.insert(dark.cookie);
             announce(state, CookieEventKind::upstreamSuspect, dark.cookie, "a peer found it dark");
         }
     }
--- a/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
+++ b/modules/sapphirespan_cookie/tests/LoadPatternTest.cpp
@@ -40,6 +40,18 @@
                            [](int sum, const ModelInstance &instance) { return sum + instance.storeCalls; });
 }
 
+/** Whatever has to be judged is looked at; all others are passed over. */
+void checkAllIsJudged(const CookieFleetModel &fleet)
+{
+    for (const auto &instance : fleet.instances) {
+        const auto &state = instance.decisions->state();
+        for (const auto &[cookie, row] : state.upstreams.rows()) {
+            BOOST_TEST((!isOpenToJudge(row.evidence) || row.isAmbiguous || state.toJudge.contains(cookie)));
+        }
+        BOOST_TEST(state.toJudge.size() <= state.upstreams.rows().size());
+    }
+}
+
 /** A fleet that has met and serves. */
 std::unique_ptr<CookieFleetModel> warmFleet(const ModelSettings &settings)
 {
@@ -84,6 +96,7 @@
         }
         fleet->run(1s);
         const auto counts = fleet->takeCounts();
+        checkAllIsJudged(*fleet);
         checkSafety(counts);
         BOOST_TEST(counts.failed <= 0.02 * counts.asked);
         BOOST_TEST(counts.share() > 0.95);
@@ -99,6 +112,7 @@
             fleet->crash(upstream, true);
         }
         fleet->run(1s);
+        checkAllIsJudged(*fleet);
         checkSafety(fleet->takeCounts());
         fleet->run(2s);
         const auto later = fleet->takeCounts();
@@ -115,6 +129,7 @@
         auto fleet = warmFleet(withSeed(seed));
         fleet->isCut = [](const std::string &from, const std::string &to) { return (from == "c") != (to == "c"); };
         fleet->run(1s);
+        checkAllIsJudged(*fleet);
         checkSafety(fleet->takeCounts());
         fleet->run(3s);
         const auto during = fleet->takeCounts();
