Reset open flows only by failures that are recent

Cause: an instance that had found an upstream unreachable reset every packet of its open flows until its next probe, which may be 6 s later, or 7 s after the verdicts of peers. An instance that was started meanwhile holds no verdict, places flows on the upstream as soon as it is back, and the fabric hands their packets to the others. Class: acting on a belief after it stopped being checked.

Change: a failure is good for resets for 1.5 s (the age up to which verdicts count for a quorum). Later, packets of open flows are forwarded, and the first of them causes a probe; if it fails, the flows are reset as before.

Ruled out: wrong ages of verdicts (all clocks ran), departure from the store (the entry was listed throughout).

--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -120,6 +120,7 @@
     }
     const bool becameUnreachable = evidence.state != Reachability::unreachable;
     setState(evidence, Reachability::unreachable, now);
+    evidence.isUnreachableWithoutProbe = false;
     scheduleRetry(evidence, now, jitter);
     return becameUnreachable;
 }
@@ -153,11 +154,12 @@
     }
 }
 
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime now)
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now)
 {
     if (evidence.state == Reachability::unreachable) {
         return false;
     }
+    evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
     setState(evidence, Reachability::unreachable, now);
     evidence.isUnreachableWithoutProbe = true;
     evidence.unreachableUntil = now + verdictLifetime;
@@ -167,6 +169,7 @@
 void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt)
 {
     if (evidence.isUnreachableWithoutProbe) {
+        evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
         evidence.unreachableUntil = std::max(evidence.unreachableUntil, foundAt + verdictLifetime);
     }
 }
@@ -199,6 +202,17 @@
     return now < evidence.avoidedUntil && evidence.lastProgressAt <= evidence.avoidedSince;
 }
 
+bool isRecentlyUnreachable(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    return evidence.state == Reachability::unreachable && now - evidence.lastFailureAt < failureValidity;
+}
+
+bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    return evidence.state == Reachability::unreachable && !isRecentlyUnreachable(evidence, now) && evidence.pendingProbes == 0
+        && now - evidence.lastProbeAt >= minVerificationInterval;
+}
+
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now)
 {
     const auto backoff = evidence.answeredProbesWithoutProgress > 0
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -45,7 +45,7 @@
     std::uint8_t pendingProbes = 0; ///< probes in flight
     bool isUnreachableWithoutProbe = false; ///< by verdicts of peers or with its data centre; this instance does not probe it
     bool isReportedUnreachable = false; ///< by a peer; one silent probe then suffices
-    SteadyTime lastFailureAt {}; ///< latest failed probe known, by this instance or a peer
+    SteadyTime lastFailureAt {}; ///< latest failed probe known, by this instance or a peer, of it or of its data centre
     SteadyTime avoidedSince {}; ///< time of the latest verdict or data centre check against it
     SteadyTime avoidedUntil {};
     std::optional<SteadyTime> peerVerdictCheckAt; ///< when to probe in order to verify a peer's verdict
@@ -85,6 +85,13 @@
 /** Time for which a recovered upstream gets few new flows. */
 inline constexpr Milliseconds reducedPlacementTime {1500};
 
+/** Age up to which a failed probe shows that an unreachable upstream serves none of its flows. Until the next probe it may have
+    come back. */
+inline constexpr Milliseconds failureValidity {1500};
+
+/** Minimum time between two probes that packets of open flows cause. */
+inline constexpr Milliseconds minVerificationInterval {200};
+
 /** Records progress of a flow. @returns whether the upstream was suspect or unreachable before */
 bool noteProgress(UpstreamEvidence &evidence, SteadyTime now);
 
@@ -117,8 +124,9 @@
     @param jitter share of maxCheckDelay to wait, in [0, 1) */
 void scheduleCheck(UpstreamEvidence &evidence, SteadyTime now, double jitter);
 
-/** Marks the upstream unreachable for verdictLifetime without a probe. @returns whether it became so in this call */
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime now);
+/** Marks the upstream unreachable for verdictLifetime without a probe. @param foundAt when the failure that says so was found
+    @returns whether it became so in this call */
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now);
 
 /** Keeps an upstream that was marked unreachable without a probe so until verdictLifetime after `foundAt`. */
 void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt);
@@ -135,6 +143,12 @@
 /** @returns whether a verdict or data centre check speaks against the upstream and no progress was seen since. */
 bool isAvoided(const UpstreamEvidence &evidence, SteadyTime now);
 
+/** @returns whether the upstream is unreachable by a failure that is recent enough to reset its open flows. */
+bool isRecentlyUnreachable(const UpstreamEvidence &evidence, SteadyTime now);
+
+/** @returns whether a packet of an open flow should cause a probe, since the upstream is unreachable by an old failure only. */
+bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now);
+
 /** @returns whether the upstream should be probed now: suspect, or unreachable with its pause over. */
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now);
 
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -92,17 +92,18 @@
     startSampleProbes(state, name, evidence);
 }
 
-/** Marks a data centre as unreachable, and its upstreams without recent progress with it; resets the flows to them. */
+/** Marks a data centre as unreachable, and its upstreams without recent progress with it; resets the flows to them.
+    @pre evidence.lastFailureAt is the time of the sample that says so */
 void markDataCentreUnreachable(CookieState &state, const std::string &name, DataCentreEvidence &evidence, std::string_view reason)
 {
     if (evidence.state != Reachability::unreachable) {
         setDataCentreReachability(evidence, Reachability::unreachable, state.now);
         announce(state, CookieEventKind::dataCentreUnreachable, 0, name + ": " + std::string(reason));
     }
-    forEachListedUpstream(state, name, [&state](UpstreamRow &row) {
+    forEachListedUpstream(state, name, [&state, foundAt = evidence.lastFailureAt](UpstreamRow &row) {
         if (state.now - row.evidence.lastProgressAt >= suspectAfterNoProgress) {
-            extendUnreachablePeriod(row.evidence, state.now);
-            markUnreachableWithoutProbe(row.evidence, state.now);
+            extendUnreachablePeriod(row.evidence, foundAt);
+            markUnreachableWithoutProbe(row.evidence, foundAt, state.now);
             state.upstreamsToEvaluate.insert(row.cookie);
         }
     });
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -38,9 +38,9 @@
     const bool wasAvoided = isAvoided(evidence, state.now);
     if (noteProbeResult(evidence, result, state.now, uniformRandom(state))) {
         announce(state, CookieEventKind::upstreamUnreachable, row.cookie, nameOf(result));
-        resetFlowsToUnreachableUpstreams(state);
     }
     if (evidence.state == Reachability::unreachable) {
+        resetFlowsToUnreachableUpstreams(state);
         recordOwnVerdict(state, {row.cookie, {}}, result);
     } else if (evidence.state == Reachability::reachable && previousState != Reachability::reachable) {
         announce(state, CookieEventKind::upstreamRecovered, row.cookie, "a connection attempt succeeded");
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirespan_cookie/placement/UpstreamChoice.h"
 #include "sapphirespan_cookie/systems/CookieAdmissionSystem.h"
+#include "sapphirespan_cookie/systems/CookieProbing.h"
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
 namespace sapphirespan {
@@ -205,6 +206,16 @@
     }
 }
 
+/** Probes an upstream to which a packet goes although it was unreachable when last probed. */
+void verifyUnreachable(CookieState &state, UpstreamRow &row)
+{
+    if (row.entry.phase != RegistrationPhase::departed && isVerificationDue(row.evidence, state.now)) {
+        ++row.evidence.pendingProbes;
+        requestProbe(state, row, ProbePurpose::upstream);
+        requestSelfCheckProbe(state);
+    }
+}
+
 /** Handles a packet that does not open a flow. The cookie alone determines its upstream; the current and former services of
     its route are not consulted, since an instance started after a route change does not know the former ones. The upstream
     itself rejects a flow that it does not hold. */
@@ -228,11 +239,14 @@
     if (isKnown) {
         applyFlowUpdate(state, *row, packet.ends.service, updateFlow(flow, packet, state.now));
     }
-    if (packet.payloadBytes > 0 && row->evidence.state == Reachability::unreachable) {
+    if (packet.payloadBytes > 0 && isRecentlyUnreachable(row->evidence, state.now)) {
         resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "its upstream is dark");
     } else if (packet.payloadBytes > 0 && isDepartureConfirmed(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamDeparted, packet.ends, flow, "its upstream has departed");
     } else {
+        if (packet.payloadBytes > 0) {
+            verifyUnreachable(state, *row);
+        }
         forwardPacket(state, *row, bytes);
     }
 }
@@ -300,7 +314,7 @@
         if (flow.phase != FlowPhase::open) {
             continue;
         }
-        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && row->evidence.state == Reachability::unreachable) {
+        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && isRecentlyUnreachable(row->evidence, state.now)) {
             resetFlow(state, state.counters.resetUpstreamUnreachable, ends, flow, "its upstream is dark");
         }
     }
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
@@ -29,7 +29,7 @@
     }
     if (state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre, row.entry.dataCentre}, state.now)
         >= unreachableQuorum) {
-        if (markUnreachableWithoutProbe(row.evidence, state.now)) {
+        if (markUnreachableWithoutProbe(row.evidence, verdict.foundAt, state.now)) {
             state.upstreamsToEvaluate.insert(row.cookie);
             announce(state, CookieEventKind::upstreamUnreachable, row.cookie, "several peers found it so");
             resetFlowsToUnreachableUpstreams(state);
--- /dev/null
+++ b/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
@@ -0,0 +1,49 @@
+/** @file
+    Open flows of upstreams that live, while what an instance knows of these upstreams is wrong or out of date, on the model of
+    a fleet.
+*/
+#include "model/FleetChecks.h"
+
+using namespace sapphirespan;
+using namespace sapphirespan::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Few clients with long pauses: at each instance an upstream makes progress only from time to time. */
+ModelSettings withIdleFlows(std::uint64_t seed)
+{
+    auto settings = withSeed(seed);
+    settings.usersPerDataCentre = 40;
+    settings.think = 4s;
+    return settings;
+}
+
+} // namespace
+
+/** Guards against resets of open flows by an instance that takes an upstream for unreachable because of a failure that is seconds
+    old: between two probes of it, the instance cannot know. */
+BOOST_AUTO_TEST_CASE(anUpstreamThatIsBackKeepsItsFlowsBetweenProbes)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto settings = withIdleFlows(seed);
+        settings.think = 9s;
+        auto fleet = warmFleet(settings);
+        fleet->run(10s);
+        for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+            fleet->startInstance(index); // knows no flow, so none is reset while its upstream is dark
+            fleet->run(300ms);
+        }
+        for (std::size_t index = 0; index < fleet->upstreams.size(); index += 4) {
+            fleet->upstreams[index].isDark = true;
+        }
+        fleet->run(5s);
+        for (auto &upstream : fleet->upstreams) {
+            upstream.isDark = false;
+        }
+        fleet->run(2s); // half of the time for which a flow may still be reset after its upstream is back
+        fleet->takeCounts();
+        fleet->run(6s);
+        checkSafety(fleet->takeCounts());
+    }
+}
