Count suspensions in ages, and probe before resetting flows on verdicts of peers

What callers would see: an open flow reset by an instance while its upstream serves it, after another machine of the fleet was suspended for seconds.

Cause: CLOCK_MONOTONIC stands still while the machine is suspended, so a resumed instance reports verdicts from before as if they were new, its own and those of others that it relays. Three of them are a quorum, on which other instances reset the flows of an upstream that is long back. Class: ages measured by a clock that can stop, and trust in ages measured elsewhere.

Change: SystemClock reads CLOCK_BOOTTIME (both steering modes). Instances of earlier builds still report such ages, so in a full mesh (12 instances) a quorum of verdicts makes an instance probe the upstream, or a sample of the data centre, at once instead of resetting flows unprobed. In larger fleets the quorum still suffices, since a probe by each instance would multiply attempts by the fleet (EvidenceSpreadTest); there a suspended instance of an earlier build can still mislead the others.

BaseTest/theSteadyClockCountsSuspensions cannot fail before on a machine that was never suspended: there both clocks agree.

--- a/modules/sapphirespan_base/tests/BaseTest.cpp
+++ b/modules/sapphirespan_base/tests/BaseTest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <ctime>
+
 using namespace sapphirespan;
 
 BOOST_AUTO_TEST_CASE(endpointsAreReadAndWritten)
@@ -37,3 +39,16 @@
     BOOST_TEST(log.totalBreaches() == 1U);
     BOOST_TEST(heard == "flow_placed_once detail");
 }
+
+/** Guards against ages that are too low after a suspension of the machine, which CLOCK_MONOTONIC does not count. */
+BOOST_AUTO_TEST_CASE(theSteadyClockCountsSuspensions)
+{
+    const auto bootTime = [] {
+        timespec now {};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return SteadyTime(std::chrono::seconds(now.tv_sec) + std::chrono::microseconds(now.tv_nsec / 1000));
+    };
+    const auto before = bootTime();
+    const auto now = SystemClock().steadyNow();
+    BOOST_TEST((before <= now && now <= bootTime()));
+}
--- a/modules/sapphirespan_base/time/Clock.h
+++ b/modules/sapphirespan_base/time/Clock.h
@@ -22,7 +22,8 @@
 public:
     virtual ~Clock() = default;
 
-    /** @returns monotonic time with microsecond resolution. */
+    /** @returns monotonic time with microsecond resolution. It goes on while the machine is suspended, so that ages of what
+        was learned before are not too low afterwards. */
     virtual SteadyTime steadyNow() const = 0;
 
     /** @returns calendar time with millisecond resolution. */
--- a/modules/sapphirespan_base/time/SystemClock.cpp
+++ b/modules/sapphirespan_base/time/SystemClock.cpp
@@ -1,10 +1,15 @@
 #include "sapphirespan_base/time/SystemClock.h"
 
+#include <ctime>
+
 namespace sapphirespan {
 
+/** CLOCK_MONOTONIC, which std::chrono::steady_clock reads, stands still while the machine is suspended. */
 SteadyTime SystemClock::steadyNow() const
 {
-    return std::chrono::time_point_cast<Microseconds>(std::chrono::steady_clock::now());
+    timespec now {};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return SteadyTime(std::chrono::duration_cast<Microseconds>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 WallTime SystemClock::wallNow() const
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -148,9 +148,10 @@
 
 void scheduleCheck(UpstreamEvidence &evidence, SteadyTime now, double jitter)
 {
-    if (evidence.state == Reachability::reachable && !evidence.peerVerdictCheckAt) {
+    if (evidence.state == Reachability::reachable) {
         const auto delay = static_cast<double>(Microseconds(maxCheckDelay).count()) * jitter;
-        evidence.peerVerdictCheckAt = now + Microseconds(static_cast<std::int64_t>(delay));
+        const auto checkAt = now + Microseconds(static_cast<std::int64_t>(delay));
+        evidence.peerVerdictCheckAt = std::min(evidence.peerVerdictCheckAt.value_or(checkAt), checkAt);
     }
 }
 
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -120,7 +120,7 @@
     replaces the next one of this instance. @param jitter in [0, 1) @returns whether the verdict was accepted */
 bool noteUnreachableVerdict(UpstreamEvidence &evidence, const Verdict &verdict, SteadyTime now, double jitter);
 
-/** Schedules a probe by this instance within maxCheckDelay, if the upstream is reachable and none is scheduled yet.
+/** Schedules a probe by this instance within maxCheckDelay, if the upstream is reachable, unless an earlier one is scheduled.
     @param jitter share of maxCheckDelay to wait, in [0, 1) */
 void scheduleCheck(UpstreamEvidence &evidence, SteadyTime now, double jitter);
 
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -140,7 +140,7 @@
         }
     }
     ++m_round;
-    if (m_rows.size() >= fullMeshMaxInstances) {
+    if (!isFullMesh()) {
         std::shuffle(targets.begin(), targets.end(), random);
         std::shuffle(otherDataCentres.begin(), otherDataCentres.end(), random);
         targets.resize(std::min(targets.size(), scope == ReportScope::ownProbeResult ? ownProbeResultFanOut : sameDataCentreFanOut));
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -106,6 +106,12 @@
     */
     bool shouldDeferLeaving(SteadyTime now) const;
 
+    /** @returns whether every instance reports to every other one. */
+    bool isFullMesh() const
+    {
+        return m_rows.size() < fullMeshMaxInstances;
+    }
+
     /** @returns this instance's rank among those alive, from 0, in the order of rankKey(). Used to stagger actions that any
         instance may take but only a few should. */
     std::size_t rank(SteadyTime now) const;
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -274,7 +274,11 @@
         const bool isAccepted = noteUnreachableVerdict(row.evidence, verdict, state.now, uniformRandom(state));
         hasFlows = hasFlows || (isAccepted && row.load.activeFlows > 0);
     });
-    if (state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre}, state.now) >= unreachableQuorum) {
+    const bool isQuorum
+        = state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre}, state.now) >= unreachableQuorum;
+    if (isQuorum && state.peers.isFullMesh()) {
+        markDataCentreSuspect(state, name);
+    } else if (isQuorum) {
         evidence.isUnreachableByPeerVerdicts = true;
         evidence.lastFailureAt = verdict.foundAt;
         evidence.unreachableUntil = verdict.foundAt + verdictLifetime;
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
@@ -21,14 +21,20 @@
     return row.load.activeFlows > 0 || row.evidence.unansweredOpeningSince || row.evidence.stalledFlows > 0;
 }
 
-/** Applies an unreachable verdict reached from this instance's data centre or from that of the upstream. */
+/** Applies an unreachable verdict reached from this instance's data centre or from that of the upstream. In a small fleet an instance
+    probes the upstream itself before it resets flows, whatever the number of verdicts: one peer whose clock stood still relays
+    those of several. */
 void applyUnreachableVerdict(CookieState &state, UpstreamRow &row, const Verdict &verdict)
 {
     if (!noteUnreachableVerdict(row.evidence, verdict, state.now, uniformRandom(state))) {
         return;
     }
-    if (state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre, row.entry.dataCentre}, state.now)
-        >= unreachableQuorum) {
+    const auto witnesses
+        = state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre, row.entry.dataCentre}, state.now);
+    if (witnesses >= unreachableQuorum && state.peers.isFullMesh()) {
+        scheduleCheck(row.evidence, state.now, 0);
+        state.upstreamsToEvaluate.insert(row.cookie);
+    } else if (witnesses >= unreachableQuorum) {
         if (markUnreachableWithoutProbe(row.evidence, verdict.foundAt, state.now)) {
             state.upstreamsToEvaluate.insert(row.cookie);
             announce(state, CookieEventKind::upstreamUnreachable, row.cookie, "several peers found it so");
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -56,6 +56,7 @@
         for (int index = 0; index < settings.instancesPerDataCentre; ++index) {
             auto &instance = instances.emplace_back();
             instance.dataCentre = settings.dataCentres[zone];
+            instance.clock = std::make_unique<InstanceClock>(clock);
             instance.peer = toEndpoint({address++, peerPort});
         }
         for (int index = 0; index < settings.usersPerDataCentre; ++index) {
@@ -154,7 +155,7 @@
         settings.seeds.push_back({instances[seed * instances.size() / 3].peer.address, controlPort});
     }
     settings.randomSeed = m_settings.seed * 1000 + index + 100 * static_cast<std::uint64_t>(instance.starts++);
-    instance.decisions = std::make_unique<CookieInstance>(settings, m_format, clock);
+    instance.decisions = std::make_unique<CookieInstance>(settings, m_format, *instance.clock);
     instance.isRunning = true;
     instance.seenRevision = 0;
     instance.decisions->tick();
@@ -176,8 +177,24 @@
     for (auto &bytes : instance.waitingPackets) {
         instance.decisions->packetArrived(bytes);
     }
+    for (const auto &bytes : instance.waitingReports) {
+        instance.decisions->peerDatagramArrived(bytes);
+    }
     carryOut(index);
     instance.waitingPackets.clear();
+    instance.waitingReports.clear();
+}
+
+void CookieFleetModel::suspendInstance(std::size_t index)
+{
+    freezeInstance(index);
+    instances[index].clock->stop();
+}
+
+void CookieFleetModel::resumeInstance(std::size_t index)
+{
+    instances[index].clock->resume();
+    thawInstance(index);
 }
 
 void CookieFleetModel::stopInstance(std::size_t index)
@@ -204,7 +221,9 @@
                 continue;
             }
             after(instance.dataCentre == instances[*other].dataCentre ? insideDelay : outsideDelay, [this, other = *other, bytes] {
-                if (instances[other].isRunning) {
+                if (instances[other].isFrozen && instances[other].waitingReports.size() < mostWaitingReports) {
+                    instances[other].waitingReports.push_back(bytes);
+                } else if (instances[other].isRunning) {
                     instances[other].decisions->beginBatch();
                     instances[other].decisions->peerDatagramArrived(bytes);
                     carryOut(other);
@@ -228,7 +247,8 @@
             ++upstream->attempts[second];
             upstream->reached[second] += isSilent ? 0 : 1;
         }
-        const auto result = isSilent ? ProbeResult::silent : (upstream->isListening ? ProbeResult::connected : ProbeResult::refused);
+        const auto result = isSilent ? ProbeResult::silent
+                                     : (upstream->isListening && !upstream->isProbeRefused ? ProbeResult::connected : ProbeResult::refused);
         after(isSilent ? 60ms : 2 * outsideDelay, [this, index, request, result] {
             if (instances[index].isRunning) {
                 instances[index].decisions->beginBatch();
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -92,6 +92,7 @@
     UpstreamEntry entry;
     bool isListening = true; ///< else its host answers openings with a reset
     bool isDark = false; ///< answers nothing at all
+    bool isProbeRefused = false; ///< nothing listens for connections, though it serves flows
     double slowness = 1;
     int running = 0;
     std::map<FlowEnds, bool> flows; ///< to whether a request is being worked on
@@ -101,8 +102,45 @@
     std::map<std::int64_t, int> reached; ///< those of them that came through to it
 };
 
+/** The steady clock of one instance. Like CLOCK_MONOTONIC, it does not count the time for which its machine is suspended. */
+class InstanceClock : public Clock
+{
+public:
+    explicit InstanceClock(const Clock &fleetClock)
+        : m_fleetClock(fleetClock)
+    {
+    }
+
+    /** Stops the steady clock at the current time. Calendar time goes on. */
+    void stop()
+    {
+        m_stoppedAt = m_fleetClock.steadyNow();
+    }
+
+    void resume()
+    {
+        m_lost += m_fleetClock.steadyNow() - *std::exchange(m_stoppedAt, std::nullopt);
+    }
+
+    SteadyTime steadyNow() const override
+    {
+        return m_stoppedAt.value_or(m_fleetClock.steadyNow()) - m_lost;
+    }
+
+    WallTime wallNow() const override
+    {
+        return m_fleetClock.wallNow();
+    }
+
+private:
+    const Clock &m_fleetClock;
+    std::optional<SteadyTime> m_stoppedAt;
+    Microseconds m_lost {0};
+};
+
 struct ModelInstance {
     std::string dataCentre;
+    std::unique_ptr<InstanceClock> clock;
     Endpoint peer;
     std::unique_ptr<CookieInstance> decisions;
     bool isRunning = false;
@@ -118,6 +156,7 @@
     std::deque<SteadyTime> answeredAt; ///< snapshots in the last tenth of a second
     bool isFrozen = false;
     std::vector<std::vector<std::uint8_t>> waitingPackets; ///< in its socket while it stands still
+    std::vector<std::vector<std::uint8_t>> waitingReports; ///< of peers, likewise
 };
 
 /** A fleet of instances with their fabric, store, upstreams and clients in one thread at logical time.
@@ -155,6 +194,10 @@
     void freezeInstance(std::size_t index);
     void thawInstance(std::size_t index);
 
+    /** Like the two above, but the steady clock of the instance stands still as well. */
+    void suspendInstance(std::size_t index);
+    void resumeInstance(std::size_t index);
+
     /** Puts a configuration in force at the store. */
     void configure(const std::vector<Route> &routes);
 
