Ignore the ages in reports that waited in the socket during a pause

What callers would see: in fleets of more than 12 instances, open flows reset by an instance that stood still for seconds, after it had gone on, though their upstreams were long back.

Cause: the age of a verdict counts from when its report was sent. A report that waited in the socket of a frozen process looks as new as when it was sent, and when the socket's buffer is full, the later reports, which say that the upstream is back, are the ones that are lost. Class: ages measured elsewhere.

Change: in the first 200 ms after a pause an instance takes entries from reports, which are ordered by revision, but no verdicts, confirmations or signs of life.

--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -24,6 +24,7 @@
     watching the store meanwhile. */
 void handlePause(CookieState &state)
 {
+    state.resumedAt = state.now;
     announce(state, CookieEventKind::instancePaused, 0, "");
     for (auto &[cookie, row] : state.upstreams.rows()) {
         resetEvidence(row.evidence, state.now);
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -67,6 +67,7 @@
     SteadyTime startedAt {};
     SteadyTime lastTickAt {};
     SteadyTime runningLateUntil {}; ///< upstreams are not evaluated before this time, after a tick that came late
+    SteadyTime resumedAt {}; ///< end of the latest pause of the process
     SteadyTime lastFlowSweepAt {};
     SteadyTime lastClientPacketAt {};
     std::optional<SteadyTime> leaveDeadline; ///< latest time to start leaving; set when leaving is requested
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -59,6 +59,10 @@
 /** Minimum time for which a watcher continues, so that small changes of rank do not make it start and stop repeatedly. */
 constexpr Milliseconds minWatchDuration {1500};
 
+/** Time after a pause of the process in which reports that waited in the socket are read. Their ages count from when they were sent,
+    and by how much that is too low is not known. */
+constexpr Milliseconds backlogReadingTime {200};
+
 constexpr std::size_t maxKnownPeersPerReport = 8;
 constexpr std::size_t maxVerdictsPerReport = 24;
 
@@ -184,6 +188,13 @@
     return result;
 }
 
+void mergeUpstreamEntries(CookieState &state, const std::vector<UpstreamEntry> &entries)
+{
+    for (const auto &entry : entries) {
+        mergeUpstreamEntry(state, entry);
+    }
+}
+
 void send(CookieState &state, const PeerReport &report, const std::vector<Endpoint> &targets)
 {
     const auto bytes = encode(report);
@@ -202,6 +213,10 @@
     if (!report) {
         return;
     }
+    if (state.now - state.resumedAt < backlogReadingTime) {
+        mergeUpstreamEntries(state, report->upstreamChanges); // ordered by revision, so no age matters
+        return;
+    }
     for (const auto &knownPeer : report->knownPeers) {
         state.peers.mergeKnownPeer(knownPeer, state.now);
     }
@@ -217,9 +232,7 @@
     if (isNew || report->phase == PeerPhase::starting) {
         state.newPeerEndpoints.push_back(report->sender.reportEndpoint);
     }
-    for (const auto &entry : report->upstreamChanges) {
-        mergeUpstreamEntry(state, entry);
-    }
+    mergeUpstreamEntries(state, report->upstreamChanges);
     adoptConfirmationTimes(state, *report);
     for (const auto &verdict : report->verdicts) {
         handlePeerVerdict(
--- a/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
+++ b/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
@@ -75,3 +75,28 @@
         checkSafety(fleet->takeCounts());
     }
 }
+
+/** Guards against resets of open flows by an instance that stood still and reads verdicts that waited in its socket: their ages
+    count from when they were sent. */
+BOOST_AUTO_TEST_CASE(verdictsThatWaitedInTheSocketEndNoFlow)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto settings = withIdleFlows(seed);
+        settings.instancesPerDataCentre = 5; // too many for a full mesh
+        auto fleet = warmFleet(settings);
+        fleet->run(6s);
+        for (std::size_t index = 0; index < fleet->upstreams.size(); index += 4) {
+            fleet->upstreams[index].isDark = true;
+        }
+        fleet->freezeInstance(0);
+        fleet->run(1200ms);
+        for (auto &upstream : fleet->upstreams) {
+            upstream.isDark = false;
+        }
+        fleet->run(8s);
+        fleet->takeCounts();
+        fleet->thawInstance(0);
+        fleet->run(10s);
+        checkSafety(fleet->takeCounts());
+    }
+}
