Confirm departures only after four seconds without a store outage

What callers would see: an open flow reset, because its upstream 'has departed', after two store outages in a row, though the upstream serves.

Cause: entries expire while the store is away, and are listed again within two seconds of its return. An instance that learned of the expiry between two outages counted the four seconds that confirm a departure through the second outage, in which nothing could be listed; as soon as the store answered again, the upstream counted as departed for good. Class: a deadline that runs while what it waits for cannot come.

Change: the four seconds start again at the end of an outage.

--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -146,6 +146,7 @@
         state.runningLateUntil = state.now + lateTickRecoveryTime;
     }
     state.lastTickAt = state.now;
+    state.storeDataLastStaleAt = isStoreDataStale(state) ? state.now : state.storeDataLastStaleAt;
     releaseHeldPackets(state);
     if (state.now >= state.runningLateUntil) {
         evaluateUpstreams(state);
--- a/modules/sapphirespan_cookie/state/CookieState.cpp
+++ b/modules/sapphirespan_cookie/state/CookieState.cpp
@@ -51,4 +51,9 @@
     return std::chrono::duration_cast<Milliseconds>(state.now - std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
 }
 
+bool isStoreDataStale(const CookieState &state)
+{
+    return storeDataAge(state) > staleStoreDataAge;
+}
+
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -82,6 +82,7 @@
     StoreRevisions confirmedRevisions; ///< store revisions up to which this instance's data is complete
     SteadyTime upstreamsConfirmedAt {}; ///< latest time at which the store is known to have matched `upstreams`
     SteadyTime routesConfirmedAt {}; ///< latest time at which the store is known to have matched `routes`
+    SteadyTime storeDataLastStaleAt {}; ///< latest tick at which routes or upstreams might have been out of date
     std::deque<RecentChange> recentChanges;
 
     FlowTrackingTable flows;
@@ -130,7 +131,13 @@
 /** @returns whether both routes and upstreams have been loaded. */
 bool hasRoutesAndUpstreams(const CookieState &state);
 
+/** Age from which routes and upstreams may be out of date: what is missing in them may just not be known here yet. */
+inline constexpr Milliseconds staleStoreDataAge {2500};
+
 /** @returns the time since the routes and upstreams were last known to match the store; the older of the two counts. */
 Milliseconds storeDataAge(const CookieState &state);
 
+/** @returns whether the store data is older than staleStoreDataAge. */
+bool isStoreDataStale(const CookieState &state);
+
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -9,15 +9,11 @@
 
 namespace {
 
-/** Age above which routes and upstreams may be out of date. A packet to an address without a route is then dropped instead
-    of answered with a reset, since the route may just not be known here yet. */
-constexpr Milliseconds staleKnowledgeAge {2500};
-
 /** Progress within this time shows that an upstream is alive and that an unanswered opening packet was lost in transit. */
 constexpr Milliseconds recentProgressTime {100};
 
-/** Time after which an upstream that is no longer listed counts as permanently departed; an entry that expired during a
-    store outage is listed again within two seconds of the store's return. */
+/** Time without a store outage after which an upstream that is no longer listed counts as permanently departed; an entry that
+    expired during an outage is listed again within two seconds of the store's return. */
 constexpr Milliseconds departureConfirmationTime {4000};
 
 /** Progress within this time shows that an upstream that is no longer listed still serves, for example because only its
@@ -64,7 +60,7 @@
 /** Handles a packet to an address without a route. */
 void handleUnroutable(CookieState &state, const ClientPacket &packet)
 {
-    if (storeDataAge(state) > staleKnowledgeAge) {
+    if (isStoreDataStale(state)) {
         dropPacket(state, state.counters.droppedNoRoute, packet, "no route is known, and routes may be out of date");
         return;
     }
@@ -167,8 +163,8 @@
 bool isDepartureConfirmed(const CookieState &state, const UpstreamRow &row)
 {
     const bool hasRecentProgress = state.now - row.evidence.lastProgressAt < servingProgressTime;
-    return row.departedAt && state.now - *row.departedAt > departureConfirmationTime && !hasRecentProgress
-        && storeDataAge(state) < staleKnowledgeAge;
+    return row.departedAt && !hasRecentProgress && !isStoreDataStale(state)
+        && state.now - std::max(*row.departedAt, state.storeDataLastStaleAt) > departureConfirmationTime;
 }
 
 /** Updates the evidence and load of an upstream from what one packet changed about its flow.
--- a/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
+++ b/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
@@ -100,3 +100,22 @@
         checkSafety(fleet->takeCounts());
     }
 }
+
+/** Guards against resets of open flows of an upstream whose entry expired while the store was away, and which the store has not
+    listed again because it went away a second time. */
+BOOST_AUTO_TEST_CASE(anExpiredUpstreamKeepsItsFlowsThroughASecondStoreOutage)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto settings = withIdleFlows(seed);
+        settings.think = 9s;
+        auto fleet = warmFleet(settings);
+        fleet->run(10s);
+        fleet->remove(0);
+        fleet->run(700ms);
+        fleet->isStoreAway = true;
+        fleet->run(7s);
+        fleet->isStoreAway = false;
+        fleet->run(2s);
+        checkSafety(fleet->takeCounts());
+    }
+}
