Reset flows of an upstream that refuses connections only if they stall

Cause: one refused connection made a suspect upstream unreachable, which resets all of its flows, idle ones too, at every instance that hears of it. Class: evidence about the listener taken as proof about the flows. Why connections were refused on the users' machines is not known.

Change: a refusal still keeps new flows away; flows are reset only if none of them had an answer for four times the usual response time, at least 300 ms, after a client's first retransmission.

--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -20,6 +20,7 @@
 {
     evidence.state = state;
     evidence.stateSince = now;
+    evidence.areFlowsReset = false;
 }
 
 /** @returns the exponential backoff before the next probe, with jitter from 0.75 to 1.5 times its length. */
@@ -29,9 +30,17 @@
     return Microseconds(static_cast<std::int64_t>(static_cast<double>(Microseconds(backoff).count()) * (0.75 + 0.75 * jitter)));
 }
 
-void scheduleRetry(UpstreamEvidence &evidence, SteadyTime probedAt, double jitter)
+void noteFailure(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt)
 {
-    evidence.lastFailureAt = probedAt;
+    evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
+    if (result == ProbeResult::silent) {
+        evidence.lastSilenceAt = std::max(evidence.lastSilenceAt, foundAt);
+    }
+}
+
+void scheduleRetry(UpstreamEvidence &evidence, ProbeResult result, SteadyTime probedAt, double jitter)
+{
+    noteFailure(evidence, result, probedAt);
     evidence.unreachableUntil = probedAt + retryBackoff(evidence, jitter);
     evidence.retryBackoffExponent = static_cast<std::uint8_t>(std::min(evidence.retryBackoffExponent + 1, 8));
 }
@@ -44,6 +53,7 @@
     }
     evidence.stalledFlows = 0;
     evidence.stalledOpenings = 0;
+    evidence.stalledSince.reset();
     evidence.consecutiveFailedProbes = 0;
     evidence.unansweredOpeningSince.reset();
     evidence.isUnreachableWithoutProbe = false;
@@ -57,6 +67,8 @@
 bool noteProgress(UpstreamEvidence &evidence, SteadyTime now)
 {
     const bool hasRecovered = evidence.state != Reachability::reachable;
+    const bool isRefusing = evidence.state == Reachability::unreachable && evidence.lastFailureAt > evidence.lastSilenceAt;
+    evidence.hasServedDespiteRefusal = evidence.hasServedDespiteRefusal || isRefusing;
     resetToReachable(evidence, now);
     evidence.retryBackoffExponent = 0;
     evidence.answeredProbesWithoutProgress = 0;
@@ -76,8 +88,9 @@
     return evidence.unansweredOpeningSince && now - *evidence.unansweredOpeningSince > openingOverdueAfter;
 }
 
-void noteStall(UpstreamEvidence &evidence, bool isOpening)
+void noteStall(UpstreamEvidence &evidence, bool isOpening, SteadyTime now)
 {
+    evidence.stalledSince = evidence.stalledSince.value_or(now);
     auto &count = isOpening ? evidence.stalledOpenings : evidence.stalledFlows;
     count = static_cast<std::uint16_t>(std::min(count + 1, 0xffff));
 }
@@ -121,7 +134,7 @@
     const bool becameUnreachable = evidence.state != Reachability::unreachable;
     setState(evidence, Reachability::unreachable, now);
     evidence.isUnreachableWithoutProbe = false;
-    scheduleRetry(evidence, now, jitter);
+    scheduleRetry(evidence, result, now, jitter);
     return becameUnreachable;
 }
 
@@ -131,9 +144,9 @@
     const auto margin = verdict.result == ProbeResult::refused ? Milliseconds(0) : recentProgressWindow;
     if (evidence.state == Reachability::unreachable) {
         if (evidence.isUnreachableWithoutProbe) {
-            extendUnreachablePeriod(evidence, foundAt);
+            extendUnreachablePeriod(evidence, verdict.result, foundAt);
         } else if (foundAt - evidence.lastFailureAt > initialRetryBackoff / 2) {
-            scheduleRetry(evidence, foundAt, jitter);
+            scheduleRetry(evidence, verdict.result, foundAt, jitter);
         }
         return true;
     }
@@ -155,22 +168,22 @@
     }
 }
 
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now)
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt, SteadyTime now)
 {
     if (evidence.state == Reachability::unreachable) {
         return false;
     }
-    evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
+    noteFailure(evidence, result, foundAt);
     setState(evidence, Reachability::unreachable, now);
     evidence.isUnreachableWithoutProbe = true;
     evidence.unreachableUntil = now + verdictLifetime;
     return true;
 }
 
-void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt)
+void extendUnreachablePeriod(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt)
 {
     if (evidence.isUnreachableWithoutProbe) {
-        evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
+        noteFailure(evidence, result, foundAt);
         evidence.unreachableUntil = std::max(evidence.unreachableUntil, foundAt + verdictLifetime);
     }
 }
@@ -203,14 +216,20 @@
     return now < evidence.avoidedUntil && evidence.lastProgressAt <= evidence.avoidedSince;
 }
 
-bool isRecentlyUnreachable(const UpstreamEvidence &evidence, SteadyTime now)
+bool mayResetFlows(const UpstreamEvidence &evidence, Microseconds usualResponseTime, SteadyTime now)
 {
-    return evidence.state == Reachability::unreachable && now - evidence.lastFailureAt < failureValidity;
+    if (evidence.state != Reachability::unreachable) {
+        return false;
+    }
+    const auto maxStall = std::max<Microseconds>(minStallBesideRefusal, usualResponseTime * stallBesideRefusalFactor);
+    const bool isStalled = evidence.stalledSince && now - *evidence.stalledSince >= maxStall;
+    return now - evidence.lastSilenceAt < failureValidity
+        || (isStalled && !evidence.hasServedDespiteRefusal && now - evidence.lastFailureAt < failureValidity);
 }
 
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now)
 {
-    return evidence.state == Reachability::unreachable && !isRecentlyUnreachable(evidence, now) && evidence.pendingProbes == 0
+    return evidence.state == Reachability::unreachable && now - evidence.lastFailureAt >= failureValidity && evidence.pendingProbes == 0
         && now - evidence.lastProbeAt >= minVerificationInterval;
 }
 
@@ -237,6 +256,7 @@
     evidence.lastProgressAt = now;
     evidence.stalledFlows = 0;
     evidence.stalledOpenings = 0;
+    evidence.stalledSince.reset();
     evidence.unansweredOpeningSince.reset();
     evidence.peerVerdictCheckAt.reset();
     if (evidence.state == Reachability::suspect) {
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -46,6 +46,10 @@
     bool isUnreachableWithoutProbe = false; ///< by verdicts of peers or with its data centre; this instance does not probe it
     bool isReportedUnreachable = false; ///< by a peer; one silent probe then suffices
     SteadyTime lastFailureAt {}; ///< latest failed probe known, by this instance or a peer, of it or of its data centre
+    SteadyTime lastSilenceAt {}; ///< of these, the latest that was not answered at all
+    std::optional<SteadyTime> stalledSince; ///< first retransmission since the last progress
+    bool hasServedDespiteRefusal = false; ///< flows made progress after a refused probe, so a refusal says nothing about them
+    bool areFlowsReset = false; ///< since it became unreachable
     SteadyTime avoidedSince {}; ///< time of the latest verdict or data centre check against it
     SteadyTime avoidedUntil {};
     std::optional<SteadyTime> peerVerdictCheckAt; ///< when to probe in order to verify a peer's verdict
@@ -85,10 +89,14 @@
 /** Time for which a recovered upstream gets few new flows. */
 inline constexpr Milliseconds reducedPlacementTime {1500};
 
-/** Age up to which a failed probe shows that an unreachable upstream serves none of its flows. Until the next probe it may have
-    come back. */
+/** Age up to which a failed probe is good for resetting open flows. Until the next probe the upstream may have come back. */
 inline constexpr Milliseconds failureValidity {1500};
 
+/** Minimum time from a client's first retransmission without an answer, on this or another flow, after which a refused probe is good
+    for resetting open flows; and the same as a multiple of the usual response time. */
+inline constexpr Milliseconds minStallBesideRefusal {300};
+inline constexpr int stallBesideRefusalFactor = 4;
+
 /** Minimum time between two probes that packets of open flows cause. */
 inline constexpr Milliseconds minVerificationInterval {200};
 
@@ -102,7 +110,7 @@
 bool isOpeningOverdue(const UpstreamEvidence &evidence, SteadyTime now);
 
 /** Records a flow's first retransmission of data since its last progress, or that of an opening. */
-void noteStall(UpstreamEvidence &evidence, bool isOpening);
+void noteStall(UpstreamEvidence &evidence, bool isOpening, SteadyTime now);
 
 /** Updates the state from the recorded evidence and ends an expired unreachable period that was set without a probe.
     @returns whether the upstream became suspect in this call */
@@ -124,12 +132,12 @@
     @param jitter share of maxCheckDelay to wait, in [0, 1) */
 void scheduleCheck(UpstreamEvidence &evidence, SteadyTime now, double jitter);
 
-/** Marks the upstream unreachable for verdictLifetime without a probe. @param foundAt when the failure that says so was found
+/** Marks the upstream unreachable for verdictLifetime without a probe. @param result, foundAt of the failure that says so
     @returns whether it became so in this call */
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now);
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt, SteadyTime now);
 
-/** Keeps an upstream that was marked unreachable without a probe so until verdictLifetime after `foundAt`. */
-void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt);
+/** Keeps an upstream that was marked unreachable without a probe so until verdictLifetime after a failure. */
+void extendUnreachablePeriod(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt);
 
 /** Records a peer's verdict that the upstream answered. From another data centre, it only brings forward the next probe
     of an upstream that this instance found unreachable itself.
@@ -143,8 +151,11 @@
 /** @returns whether a verdict or data centre check speaks against the upstream and no progress was seen since. */
 bool isAvoided(const UpstreamEvidence &evidence, SteadyTime now);
 
-/** @returns whether the upstream is unreachable by a failure that is recent enough to reset its open flows. */
-bool isRecentlyUnreachable(const UpstreamEvidence &evidence, SteadyTime now);
+/** @returns whether the open flows of an unreachable upstream may be reset: it left a recent probe unanswered, or refused one while
+    its flows stall as well. A refusal alone says only that nothing listens for connections. The upstream may serve all the same,
+    and the host of one that has ended resets the flows itself.
+    @param usualResponseTime of its service; 0 if unknown */
+bool mayResetFlows(const UpstreamEvidence &evidence, Microseconds usualResponseTime, SteadyTime now);
 
 /** @returns whether a packet of an open flow should cause a probe, since the upstream is unreachable by an old failure only. */
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now);
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -102,8 +102,8 @@
     }
     forEachListedUpstream(state, name, [&state, foundAt = evidence.lastFailureAt](UpstreamRow &row) {
         if (state.now - row.evidence.lastProgressAt >= suspectAfterNoProgress) {
-            extendUnreachablePeriod(row.evidence, foundAt);
-            markUnreachableWithoutProbe(row.evidence, foundAt, state.now);
+            extendUnreachablePeriod(row.evidence, ProbeResult::silent, foundAt);
+            markUnreachableWithoutProbe(row.evidence, ProbeResult::silent, foundAt, state.now);
             state.upstreamsToEvaluate.insert(row.cookie);
         }
     });
@@ -262,7 +262,8 @@
         } else if (verdict.foundAt - evidence.lastFailureAt > initialRetryBackoff / 2) {
             scheduleDataCentreRetry(state, evidence, verdict.foundAt);
         }
-        forEachListedUpstream(state, name, [&](UpstreamRow &row) { extendUnreachablePeriod(row.evidence, verdict.foundAt); });
+        forEachListedUpstream(state, name,
+                              [&](UpstreamRow &row) { extendUnreachablePeriod(row.evidence, verdict.result, verdict.foundAt); });
         return;
     }
     if (evidence.lastAnswerAt > verdict.foundAt || hasRecentProgress(state, name)) {
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -69,11 +69,16 @@
     });
     evaluateDataCentres(state);
     bool isProbing = false;
+    bool isResetDue = false;
     for (const auto cookie : state.upstreamsToEvaluate) {
         auto &row = *state.upstreams.find(cookie);
         if (updateReachability(row.evidence, state.now)) {
             announce(state, CookieEventKind::upstreamSuspect, cookie, "flows retransmit without progress, or a peer found it unreachable");
         }
+        if (!row.evidence.areFlowsReset && mayResetFlows(state, row)) {
+            row.evidence.areFlowsReset = true;
+            isResetDue = true;
+        }
         const bool isProbeAllowed
             = row.entry.phase != RegistrationPhase::departed && !isDataCentreSuspectOrUnreachable(state, row.entry.dataCentre);
         if (isProbeAllowed && isProbeDue(row.evidence, state.now) && !isRetryLeftToPeers(state, row)) {
@@ -82,6 +87,9 @@
             isProbing = true;
         }
     }
+    if (isResetDue) {
+        resetFlowsToUnreachableUpstreams(state);
+    }
     if (isProbing) {
         requestSelfCheckProbe(state);
     }
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -144,7 +144,7 @@
     auto *row = state.upstreams.find(flow.cookie);
     if (flow.phase == FlowPhase::opening && state.now - flow.openingPlacedAt >= minRetransmissionInterval) {
         if (flow.retransmissions++ == 0 && row != nullptr) {
-            noteStall(row->evidence, true);
+            noteStall(row->evidence, true, state.now);
             state.upstreamsToEvaluate.insert(row->cookie);
         }
         if (shouldMoveFlow(state, row)) {
@@ -180,7 +180,7 @@
         }
     }
     if (update.isFirstRetransmission) {
-        noteStall(row.evidence, false);
+        noteStall(row.evidence, false, state.now);
         state.upstreamsToEvaluate.insert(row.cookie);
     }
     if (update.isClosed) {
@@ -235,7 +235,7 @@
     if (isKnown) {
         applyFlowUpdate(state, *row, packet.ends.service, updateFlow(flow, packet, state.now));
     }
-    if (packet.payloadBytes > 0 && isRecentlyUnreachable(row->evidence, state.now)) {
+    if (packet.payloadBytes > 0 && mayResetFlows(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "its upstream is dark");
     } else if (packet.payloadBytes > 0 && isDepartureConfirmed(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamDeparted, packet.ends, flow, "its upstream has departed");
@@ -279,8 +279,26 @@
     dropExpiredHeldPackets(state);
 }
 
+/** @returns the mean of the response times of a service's upstreams, as seen here; 0 if there are none. */
+Microseconds usualResponseTime(const CookieState &state, const std::string &service)
+{
+    double sumMs = 0;
+    int count = 0;
+    for (const auto *row : state.upstreams.listedForService(service)) {
+        sumMs += row->load.averageFirstByteMs;
+        count += row->load.averageFirstByteMs > 0 ? 1 : 0;
+    }
+    return Microseconds(count > 0 ? static_cast<std::int64_t>(sumMs * 1000 / count) : 0);
+}
+
 } // namespace
 
+bool mayResetFlows(const CookieState &state, const UpstreamRow &row)
+{
+    return row.evidence.state == Reachability::unreachable
+        && mayResetFlows(row.evidence, usualResponseTime(state, row.entry.service), state.now);
+}
+
 void handleClientPacket(CookieState &state, std::span<std::uint8_t> bytes)
 {
     ++state.counters.packets;
@@ -310,7 +328,7 @@
         if (flow.phase != FlowPhase::open) {
             continue;
         }
-        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && isRecentlyUnreachable(row->evidence, state.now)) {
+        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && mayResetFlows(state, *row)) {
             resetFlow(state, state.counters.resetUpstreamUnreachable, ends, flow, "its upstream is dark");
         }
     }
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
@@ -35,7 +35,7 @@
         scheduleCheck(row.evidence, state.now, 0);
         state.upstreamsToEvaluate.insert(row.cookie);
     } else if (witnesses >= unreachableQuorum) {
-        if (markUnreachableWithoutProbe(row.evidence, verdict.foundAt, state.now)) {
+        if (markUnreachableWithoutProbe(row.evidence, verdict.result, verdict.foundAt, state.now)) {
             state.upstreamsToEvaluate.insert(row.cookie);
             announce(state, CookieEventKind::upstreamUnreachable, row.cookie, "several peers found it so");
             resetFlowsToUnreachableUpstreams(state);
--- a/modules/sapphirespan_cookie/tests/CookieTest.cpp
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -254,7 +254,7 @@
     UpstreamEvidence evidence;
     evidence.lastProgressAt = start;
     BOOST_TEST(!updateReachability(evidence, start + 1s));
-    noteStall(evidence, false);
+    noteStall(evidence, false, start + 1s);
     BOOST_TEST(!updateReachability(evidence, start + 100ms));
     BOOST_TEST(updateReachability(evidence, start + 1s));
     BOOST_TEST(isProbeDue(evidence, start + 1s));
@@ -269,8 +269,8 @@
 {
     UpstreamEvidence evidence;
     evidence.lastProgressAt = start;
-    noteStall(evidence, false);
-    noteStall(evidence, false);
+    noteStall(evidence, false, start);
+    noteStall(evidence, false, start);
     noteProgress(evidence, start + 10ms);
     BOOST_TEST(!updateReachability(evidence, start + 1s));
 }
@@ -343,7 +343,7 @@
 {
     UpstreamEvidence evidence;
     evidence.lastProgressAt = start;
-    BOOST_TEST(markUnreachableWithoutProbe(evidence, start + 1s, start + 1s));
+    BOOST_TEST(markUnreachableWithoutProbe(evidence, ProbeResult::silent, start + 1s, start + 1s));
     BOOST_TEST(!isProbeDue(evidence, start + 1s + verdictLifetime));
     noteUnreachableVerdict(evidence, darkVerdict(start + 2s), start + 2s, 0);
     updateReachability(evidence, start + 1s + verdictLifetime);
@@ -371,7 +371,7 @@
     evidence.lastProgressAt = start;
     int attempts = 0;
     for (auto now = start + 1s; now < start + 11s; now += 50ms) {
-        noteStall(evidence, false);
+        noteStall(evidence, false, now);
         updateReachability(evidence, now);
         if (isProbeDue(evidence, now)) {
             ++attempts;
--- a/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
+++ b/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
@@ -119,3 +119,20 @@
         checkSafety(fleet->takeCounts());
     }
 }
+
+/** Guards against resets of open flows because an upstream refuses connections: only its flows show whether it serves them. */
+BOOST_AUTO_TEST_CASE(anUpstreamThatRefusesProbesKeepsItsFlows)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto settings = withIdleFlows(seed);
+        settings.kinds[0].work = 300ms;
+        settings.kinds[0].deadline = 3s;
+        settings.kinds[0].aim = 1s;
+        auto fleet = warmFleet(settings);
+        for (auto &upstream : fleet->upstreams) {
+            upstream.isProbeRefused = true;
+        }
+        fleet->run(20s);
+        checkSafety(fleet->takeCounts());
+    }
+}
