Tell attempts that could not be made from refused connections

What callers would see: open flows reset, and upstreams without new flows, because the instance itself had no descriptor or port left for a connection attempt. Found while the report of resets after refused connections was traced; whether it acted there is not known.

Cause: every error of an attempt counted as a refusal by the upstream's host. Class: a local fault taken as evidence about a peer.

Change: only a reset by the host is a refusal; 'host unreachable' counts as silence; any other error says nothing, is logged as probe_not_made with its reason, and the probe is due again.

Test: NetTest/anAttemptThatCannotBeMadeIsNoRefusal; with the old mapping of errors it fails (the outcome is 'refused').

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -74,7 +74,8 @@
     return value;
 }
 
-ProbeResult resultOf(ConnectionOutcome outcome)
+/** @returns nothing if the attempt could not be made. */
+std::optional<ProbeResult> resultOf(ConnectionOutcome outcome)
 {
     switch (outcome) {
     case ConnectionOutcome::connected:
@@ -82,10 +83,12 @@
     case ConnectionOutcome::refused:
         return ProbeResult::refused;
     case ConnectionOutcome::silent:
+        return ProbeResult::silent;
+    case ConnectionOutcome::notMade:
     case ConnectionOutcome::count:
         break;
     }
-    return ProbeResult::silent;
+    return std::nullopt;
 }
 
 } // namespace
@@ -237,7 +240,12 @@
     for (const auto &request : m_instance.takeProbeRequests()) {
         m_prober.probe(request.address, probeDeadline, [this, request](ConnectionOutcome outcome) {
             m_instance.beginBatch();
-            m_instance.probeEnded(request, resultOf(outcome));
+            if (const auto result = resultOf(outcome)) {
+                m_instance.probeEnded(request, *result);
+            } else {
+                m_log.warning("probe_not_made", fields({{"upstream", request.address.toText()}, {"reason", m_prober.lastFailure()}}));
+                m_instance.probeNotMade(request);
+            }
             carryOut();
         });
     }
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -120,6 +120,11 @@
     reportNewVerdict(*m_state);
 }
 
+void CookieInstance::probeNotMade(const ProbeRequest &request)
+{
+    handleProbeNotMade(*m_state, request);
+}
+
 void CookieInstance::leaveRequested(SteadyTime latest)
 {
     if (!m_state->leaveDeadline) {
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -202,6 +202,9 @@
     /** Evaluates the result of a ProbeRequest. */
     void probeEnded(const ProbeRequest &request, ProbeResult result);
 
+    /** Records that the attempt of a ProbeRequest could not be made, which says nothing about the upstream. */
+    void probeNotMade(const ProbeRequest &request);
+
     /** Requests that the instance leaves the fleet. It defers this while too many instances of its data centre are out of
         service, at most until `latest`. Once leaving, it is not ready but forwards packets until its process ends.
         Idempotent; only the first call sets `latest`.
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -114,6 +114,19 @@
     }
 }
 
+void handleProbeNotMade(CookieState &state, const ProbeRequest &request)
+{
+    auto *row = state.upstreams.find(request.cookie);
+    if (row == nullptr) {
+        return;
+    }
+    if (request.purpose == ProbePurpose::upstream) {
+        row->evidence.pendingProbes = static_cast<std::uint8_t>(std::max(row->evidence.pendingProbes - 1, 0));
+    } else if (request.purpose == ProbePurpose::dataCentre) {
+        handleSampleProbeResult(state, *row, ProbeResult::silent, false);
+    }
+}
+
 void recountLoadAndExpireState(CookieState &state)
 {
     state.lastFlowSweepAt = state.now;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.h
@@ -13,6 +13,9 @@
     Results for upstreams that are no longer known only count as self-check answers or failures. */
 void handleProbeResult(CookieState &state, const ProbeRequest &request, ProbeResult result);
 
+/** Handles a probe that could not be made on this machine. It settles nothing, so it may be requested again. */
+void handleProbeNotMade(CookieState &state, const ProbeRequest &request);
+
 /** Recounts the active flows and waiting requests of each upstream from the tracked flows, and removes flows, departed
     upstreams, verdicts and peers that have expired. */
 void recountLoadAndExpireState(CookieState &state);
--- a/modules/sapphirespan_net/probe/ConnectionProber.cpp
+++ b/modules/sapphirespan_net/probe/ConnectionProber.cpp
@@ -7,27 +7,11 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstring>
 
 namespace sapphirespan {
 
-namespace {
-
-/** At the deadline an answer may have come already that a late loop has not handled yet. */
-ConnectionOutcome outcomeNow(int descriptor)
-{
-    pollfd state {descriptor, POLLOUT, 0};
-    if (::poll(&state, 1, 0) <= 0) {
-        return ConnectionOutcome::silent;
-    }
-    int error = 0;
-    socklen_t length = sizeof error;
-    ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
-    return error == 0 ? ConnectionOutcome::connected : ConnectionOutcome::refused;
-}
-
-} // namespace
-
 struct ConnectionProber::Attempt {
     ConnectionProber *prober = nullptr;
     bufferevent *connection = nullptr;
@@ -66,7 +50,7 @@
         [](bufferevent *, short what, void *context) {
             auto *mine = static_cast<Attempt *>(context);
             const bool isConnected = (what & BEV_EVENT_CONNECTED) != 0;
-            mine->prober->finish(mine, isConnected ? ConnectionOutcome::connected : ConnectionOutcome::refused);
+            mine->prober->finish(mine, isConnected ? ConnectionOutcome::connected : mine->prober->outcomeOf(EVUTIL_SOCKET_ERROR()));
         },
         attempt);
     sockaddr_in address {};
@@ -74,10 +58,42 @@
     address.sin_port = htons(server.port);
     std::memcpy(&address.sin_addr, server.address.bytes.data(), IpAddress::sizeV4);
     if (bufferevent_socket_connect(attempt->connection, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
-        finish(attempt, ConnectionOutcome::refused);
+        finish(attempt, outcomeOf(EVUTIL_SOCKET_ERROR()));
     }
 }
 
+/** @param error as in errno */
+ConnectionOutcome ConnectionProber::outcomeOf(int error)
+{
+    switch (error) {
+    case 0:
+        return ConnectionOutcome::connected;
+    case ECONNREFUSED:
+    case ECONNRESET:
+        return ConnectionOutcome::refused;
+    case ETIMEDOUT:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+        return ConnectionOutcome::silent;
+    default:
+        m_lastFailure = std::strerror(error);
+        return ConnectionOutcome::notMade;
+    }
+}
+
+/** At the deadline an answer may have come already that a late loop has not handled yet. */
+ConnectionOutcome ConnectionProber::outcomeNow(int descriptor)
+{
+    pollfd state {descriptor, POLLOUT, 0};
+    if (::poll(&state, 1, 0) <= 0) {
+        return ConnectionOutcome::silent;
+    }
+    int error = 0;
+    socklen_t length = sizeof error;
+    ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    return outcomeOf(error);
+}
+
 /** The connection must not be freed inside its own callback, so that happens from the loop. */
 void ConnectionProber::finish(Attempt *attempt, ConnectionOutcome outcome)
 {
--- a/modules/sapphirespan_net/tests/NetTest.cpp
+++ b/modules/sapphirespan_net/tests/NetTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -196,3 +197,25 @@
     receiver->receiveWaiting();
     BOOST_TEST(received == packets);
 }
+
+/** Guards against upstreams that count as refusing because this process has no descriptor left for the attempt. */
+BOOST_AUTO_TEST_CASE(anAttemptThatCannotBeMadeIsNoRefusal)
+{
+    EventLoop loop;
+    ConnectionProber prober(loop);
+    rlimit limit {};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    const int highest = ::dup(0);
+    ::close(highest);
+    const rlimit none {static_cast<rlim_t>(highest), limit.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &none);
+    std::optional<ConnectionOutcome> seen;
+    prober.probe({*IpAddress::parse("127.0.0.1"), 9}, 200ms, [&](ConnectionOutcome outcome) {
+        seen = outcome;
+        loop.stop();
+    });
+    loop.run();
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    BOOST_TEST((seen == ConnectionOutcome::notMade));
+    BOOST_TEST(!prober.lastFailure().empty());
+}
