--- a/modules/sapphirespan_net/probe/ConnectionProber.cpp
+++ b/modules/sapphirespan_net/probe/ConnectionProber.cpp
@@ -62,12 +62,10 @@
     }
 }
 
-/** @param error as in errno */
+/** @param error as in errno, of an attempt that failed */
 ConnectionOutcome ConnectionProber::outcomeOf(int error)
 {
     switch (error) {
-    case 0:
-        return ConnectionOutcome::connected;
     case ECONNREFUSED:
     case ECONNRESET:
         return ConnectionOutcome::refused;
@@ -91,7 +89,7 @@
     int error = 0;
     socklen_t length = sizeof error;
     ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
-    return outcomeOf(error);
+    return error == 0 ? ConnectionOutcome::connected : outcomeOf(error);
 }
 
 /** The connection must not be freed inside its own callback, so that happens from the loop. */
