Order store data across restores of the store

Cause: everything was ordered by the store's revision, and no revision ever fell here. A restore sets the revision back and gives its numbers out again, so what the operator and the servers wrote afterwards counted as old and was ignored. Class of fault: ordering by a counter that can go back.

Routes are ordered by the operator's version: an older one is refused whatever its revision, and the one in force is raised above it by the distance in versions, so that instances that loaded the copy fetch it and nobody asks again and again. Upstreams: an entry of the copy that would undo draining, unreadable or departed holds the upstream back until it writes again. Since an entry does not change while only its sequence does, this ends after 10 s with the store in reach as well. A departure by a list of a new generation belongs to that generation. A departure is confirmed only by time during which the store could be asked; before, an outage right after a list without the upstream sufficed to reset its flows.

The check in CookieTest neverGoBack that a newer version at a lower revision is refused demanded the fault.

--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -95,10 +95,7 @@
 
 void CookieInstance::storeConfirmed(StoreDataKind part, std::uint64_t revision)
 {
-    const bool isRoutes = part == StoreDataKind::routes;
-    (isRoutes ? m_state->routesConfirmedAt : m_state->upstreamsConfirmedAt) = m_state->now;
-    auto &confirmedRevision = isRoutes ? m_state->confirmedRevisions.routes : m_state->confirmedRevisions.upstreams;
-    confirmedRevision = std::max(confirmedRevision, revision);
+    confirmStoreData(*m_state, part, revision, m_state->now);
     m_state->storeFailedAt.reset();
 }
 
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -78,6 +78,8 @@
     flowReset,
     openingRejected,
     packetDropped,
+    storeRestored, ///< the store came back from an older copy, so a new generation of revisions has begun
+    routesRefused, ///< a configuration of an older version than the one in force
     count
 };
 
@@ -87,7 +89,7 @@
         "routes_in_force",  "knowledge_loaded", "upstream_listed",  "upstream_draining", "upstream_unreadable", "upstream_departed",
         "upstream_suspect", "upstream_dark",    "upstream_back",    "data_centre_dark",  "data_centre_back",    "peer_appeared",
         "watch_started",    "watch_stopped",    "instance_leaving", "instance_paused",   "flow_placed",         "flow_moved",
-        "flow_reset",       "opening_rejected", "packet_dropped"};
+        "flow_reset",       "opening_rejected", "packet_dropped",   "store_restored",    "routes_refused"};
 };
 
 /** One event, with the flow or upstream that it concerns. Listeners build the message text. */
@@ -187,10 +189,10 @@
     /** Merges changes of the store's upstreams. */
     void upstreamsChanged(const UpstreamChanges &changes);
 
-    /** Applies a route configuration from the store; ignored unless its revision is higher than the active one. */
+    /** Applies a route configuration from the store; see RouteDirectory::apply(). */
     void routesArrived(const RouteConfiguration &configuration);
 
-    /** Records that one part of this instance's data matches the store now. @param revision store revision at that time */
+    /** Records that one part of this instance's data matches the store now. @param revision ordered store revision at that time */
     void storeConfirmed(StoreDataKind part, std::uint64_t revision);
 
     /** Records that a call to the store failed; peers are told, so that instances that reach the store watch it instead. */
--- a/modules/sapphirespan_cookie/knowledge/RouteDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/RouteDirectory.cpp
@@ -1,15 +1,32 @@
 #include "sapphirespan_cookie/knowledge/RouteDirectory.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace sapphirespan {
 
+namespace {
+
+/** Limit of the distance by which a configuration is raised above a refused one, so that the generation is not touched. */
+constexpr std::uint64_t maxVersionDistance = 1U << 20U;
+
+} // namespace
+
 bool RouteDirectory::apply(const RouteConfiguration &configuration)
 {
-    if (configuration.revision <= m_configuration.revision) {
+    if (configuration.revision == 0) {
         return false;
     }
+    if (configuration.version < m_configuration.version) {
+        raiseAbove(configuration);
+        return false;
+    }
+    if (configuration.version == m_configuration.version && configuration.revision <= m_configuration.revision) {
+        return false;
+    }
+    const auto lowestRevision = m_configuration.revision + (configuration.version > m_configuration.version ? 1 : 0);
     m_configuration = configuration;
+    m_configuration.revision = std::max(configuration.revision, lowestRevision);
     m_routeIndexByAddress.clear();
     for (std::size_t index = 0; index < m_configuration.routes.size(); ++index) {
         m_routeIndexByAddress[m_configuration.routes[index].address] = index;
@@ -17,6 +34,14 @@
     return true;
 }
 
+/** The distance in versions keeps instances with different versions in order. */
+void RouteDirectory::raiseAbove(const RouteConfiguration &refused)
+{
+    if (refused.revision >= m_configuration.revision) {
+        m_configuration.revision = refused.revision + std::min(m_configuration.version - refused.version, maxVersionDistance);
+    }
+}
+
 const Route *RouteDirectory::find(const Ipv4Endpoint &address) const
 {
     const auto found = m_routeIndexByAddress.find(address);
--- a/modules/sapphirespan_cookie/knowledge/RouteDirectory.h
+++ b/modules/sapphirespan_cookie/knowledge/RouteDirectory.h
@@ -26,20 +26,25 @@
 
 /** One version of the route configuration. */
 struct RouteConfiguration {
-    std::uint64_t revision = 0; ///< store revision at which this version was written; orders versions
-    std::uint64_t version = 0; ///< version number assigned by the operator
+    std::uint64_t revision = 0; ///< ordered store revision at which this version was written, or a higher one; see RouteDirectory
+    std::uint64_t version = 0; ///< version number assigned by the operator; orders configurations
     Milliseconds idleTimeout {15000}; ///< a flow without packets for longer than this is removed
     std::vector<Route> routes;
 };
 
 /** The active route configuration, indexed by service address.
 
-    The active revision never decreases. Thread safety: none.
+    Neither the active version nor its revision ever decreases. Instances compare revisions to find out who has the later
+    configuration, and a store that was restored from a copy lists an older configuration at a higher ordered revision. The
+    active one is therefore raised above an older one that is refused, and above the one that it replaces.
+
+    Thread safety: none.
 */
 class RouteDirectory
 {
 public:
-    /** Activates a configuration if its revision is higher than the active one. @returns whether it was activated */
+    /** Activates a configuration if its version is higher than the active one, or is the same at a higher revision.
+        @returns whether it was activated */
     bool apply(const RouteConfiguration &configuration);
 
     /** @returns the route of a service address, or nullptr if it has none. Valid until the next apply(). */
@@ -61,6 +66,8 @@
     }
 
 private:
+    void raiseAbove(const RouteConfiguration &refused);
+
     RouteConfiguration m_configuration;
     std::unordered_map<Ipv4Endpoint, std::size_t> m_routeIndexByAddress; ///< index into m_configuration.routes
 };
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.cpp
@@ -1,5 +1,7 @@
 #include "sapphirespan_cookie/knowledge/UpstreamDirectory.h"
 
+#include "sapphirespan_cookie/knowledge/StoreRevision.h"
+
 #include <sodium.h>
 
 #include <algorithm>
@@ -10,6 +12,10 @@
 
 namespace {
 
+/** Time for which an upstream is held back: several times as long as the store waits before it removes the entry of an upstream
+    that has stopped writing, and as one that drains takes to write again. */
+constexpr Milliseconds holdBackTime {10000};
+
 /** @returns the first eight bytes of the BLAKE2b digest of two numbers, read as big-endian. The numbers are hashed as
     little-endian. */
 std::uint64_t shortDigest(std::uint64_t first, std::uint64_t second)
@@ -33,6 +39,26 @@
     return shortDigest(entry.id, entry.revision);
 }
 
+/** @returns whether an entry of a start tells more recent news than another entry of a start of the same id. */
+bool isLaterStart(const UpstreamEntry &entry, const UpstreamEntry &latest)
+{
+    if (storeGeneration(entry.revision) != storeGeneration(latest.revision)) {
+        return entry.startedAt > latest.startedAt;
+    }
+    return entry.revision > latest.revision;
+}
+
+/** @returns whether an entry may have been written before the known one although its ordered revision is higher, and would undo
+    it. @param isHeldBack whether the same holds for the known one */
+bool mayUndo(const UpstreamEntry &entry, const UpstreamEntry &known, bool isHeldBack)
+{
+    if (storeGeneration(entry.revision) <= storeGeneration(known.revision) || entry.phase != RegistrationPhase::ready) {
+        return false;
+    }
+    const bool isKnownAsReady = known.phase == RegistrationPhase::ready;
+    return isKnownAsReady ? isHeldBack : revisionInGeneration(entry.revision) <= revisionInGeneration(known.revision);
+}
+
 } // namespace
 
 FlowCookie cookieOf(UpstreamId id, std::int64_t startedAt)
@@ -80,7 +106,8 @@
 {
     const auto cookie = cookieOf(entry.id, entry.startedAt);
     auto *latest = latestStartOf(entry.id);
-    const bool isLatestStart = latest == nullptr || latest->cookie == cookie || entry.revision > latest->entry.revision;
+    const bool isLatestStart = latest == nullptr || latest->cookie == cookie || isLaterStart(entry, latest->entry);
+    SteadyTime heldBackUntil {};
     if (const auto found = m_rows.find(cookie); found != m_rows.end()) {
         auto &row = found->second;
         if (row.entry.id != entry.id || row.entry.startedAt != entry.startedAt) {
@@ -91,6 +118,9 @@
         if (entry.revision < row.entry.revision || (entry.revision == row.entry.revision && !isNewlyDeparted)) {
             return false;
         }
+        if (mayUndo(entry, row.entry, now < row.heldBackUntil)) {
+            heldBackUntil = now + holdBackTime;
+        }
     } else {
         auto &row = m_rows[cookie];
         row.cookie = cookie;
@@ -108,7 +138,9 @@
         }
         m_latestCookieById[entry.id] = cookie;
     }
-    updateRow(m_rows[cookie], merged, now);
+    auto &row = m_rows[cookie];
+    updateRow(row, merged, now);
+    row.heldBackUntil = heldBackUntil;
     return true;
 }
 
@@ -134,13 +166,30 @@
         }
     }
     for (const auto id : missingIds) {
-        if (auto entry = markDeparted(id, 0, now)) {
+        if (auto entry = markUnlisted(id, list.revision, now)) {
             changed.push_back(*entry);
         }
     }
     return changed;
 }
 
+/** The departure belongs to the list's generation: what the upstream writes there later is newer, whatever its revision was. */
+std::optional<UpstreamEntry> UpstreamDirectory::markUnlisted(UpstreamId id, std::uint64_t listRevision, SteadyTime now)
+{
+    const auto *latest = latestStartOf(id);
+    const bool isOfEarlierGeneration = latest != nullptr && storeGeneration(latest->entry.revision) < storeGeneration(listRevision);
+    return markDeparted(id, isOfEarlierGeneration ? listRevision : 0, now);
+}
+
+void UpstreamDirectory::prolongHoldBack(SteadyTime now)
+{
+    for (auto &[cookie, row] : m_rows) {
+        if (row.heldBackUntil > now) {
+            row.heldBackUntil = now + holdBackTime;
+        }
+    }
+}
+
 /** Changes the phase of the latest start of an id and keeps its other data; a departed or unreadable entry carries none. */
 std::optional<UpstreamEntry> UpstreamDirectory::setPhaseOfLatestStart(UpstreamId id, RegistrationPhase phase, std::uint64_t revision,
                                                                       SteadyTime now)
--- a/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
+++ b/modules/sapphirespan_cookie/knowledge/UpstreamDirectory.h
@@ -28,7 +28,7 @@
 struct UpstreamEntry {
     UpstreamId id = 0;
     std::int64_t startedAt = 0; ///< Unix time in milliseconds; distinguishes starts with the same id
-    std::uint64_t revision = 0; ///< store revision at which this version was written
+    std::uint64_t revision = 0; ///< ordered store revision at which this version was written
     std::string service;
     Ipv4Endpoint address;
     std::string dataCentre;
@@ -56,10 +56,17 @@
     SteadyTime entryUpdatedAt {}; ///< when this instance received the current entry
     SteadyTime warmUpEndsAt {}; ///< when its warm-up is expected to end
     std::optional<SteadyTime> departedAt; ///< when this instance learned that it had left the list
+    SteadyTime heldBackUntil {}; ///< gets no new flows until then, as a restored store may list it although it drains or has left
     UpstreamEvidence evidence;
     UpstreamLoad load;
 };
 
+/** @returns whether an upstream may get new flows by what the store says of it. */
+inline bool isReady(const UpstreamRow &row, SteadyTime now)
+{
+    return row.entry.phase == RegistrationPhase::ready && now >= row.heldBackUntil;
+}
+
 /** @returns the cookie of one start of one upstream: the first four bytes of a BLAKE2b digest, or 1 where these are 0.
 
     Thread safety: pure function; every instance computes the same value.
@@ -68,8 +75,13 @@
 
 /** All starts of upstreams that may still have open flows, indexed by cookie.
 
-    Entries are merged by revision: the higher revision wins, and at equal revisions `departed` wins. The result does not
-    depend on the order in which entries arrive from the store and from peers.
+    Entries are merged by ordered revision: the higher revision wins, and at equal revisions `departed` wins. The result does
+    not depend on the order in which entries arrive from the store and from peers. Of two starts of an id the one with the higher
+    revision is the later one, or across store generations the one that started later.
+
+    An entry of a later generation may be older than what is known, because the store was restored from a copy. If it says that
+    an upstream is ready which was not, and its revision does not show that it was written later, the upstream is held back: it
+    keeps its flows but gets no new ones until a later entry arrives, or until the store would have removed it.
 
     Thread safety: none.
 */
@@ -85,6 +97,13 @@
     /** Merges one entry. @returns whether the stored entry changed */
     bool merge(const UpstreamEntry &entry, SteadyTime now);
 
+    /** Marks the latest start of an id as departed because a complete list of the given revision lacks it. @returns the changed
+        entry, or nothing if nothing changed */
+    std::optional<UpstreamEntry> markUnlisted(UpstreamId id, std::uint64_t listRevision, SteadyTime now);
+
+    /** Lets all upstreams that are held back wait anew, since the store does not tell whether they are still there. */
+    void prolongHoldBack(SteadyTime now);
+
     /** Merges a complete list and marks unlisted upstreams as departed unless their revision is higher than the list's.
         @returns the entries that changed
     */
@@ -138,7 +157,7 @@
 
     Rows m_rows;
     std::unordered_map<std::string, std::vector<UpstreamRow *>> m_listedByService; ///< by service; rows keep their address in m_rows
-    std::unordered_map<UpstreamId, FlowCookie> m_latestCookieById; ///< cookie of the start with the highest revision
+    std::unordered_map<UpstreamId, FlowCookie> m_latestCookieById; ///< cookie of the latest start
     std::uint64_t m_digest = 0;
 };
 
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -53,9 +53,9 @@
     return isOpeningOverdue(row.evidence, context.now) ? ChoiceClass::inDoubt : ChoiceClass::preferred;
 }
 
-bool isCandidate(const UpstreamRow &row)
+bool isCandidate(const UpstreamRow &row, const ChoiceContext &context)
 {
-    return row.entry.phase == RegistrationPhase::ready && !row.hasCookieCollision;
+    return isReady(row, context.now) && !row.hasCookieCollision;
 }
 
 double weightedFlows(const UpstreamRow &row)
@@ -79,7 +79,8 @@
     for (const auto *listed : directory.listedForService(context.service)) {
         const auto &row = *listed;
         const bool isStarting = context.now - row.firstLearnedAt < slowStartTime;
-        if (isCandidate(row) && row.evidence.state == Reachability::reachable && !isAvoided(row.evidence, context.now) && !isStarting) {
+        if (isCandidate(row, context) && row.evidence.state == Reachability::reachable && !isAvoided(row.evidence, context.now)
+            && !isStarting) {
             slots += row.entry.slots;
             flows += weightedFlows(row);
             averages.responseMs += row.load.averageFirstByteMs;
@@ -124,7 +125,7 @@
     double bestLoad = 0;
     for (auto *listed : directory.listedForService(context.service)) {
         auto &row = *listed;
-        if (!isCandidate(row)) {
+        if (!isCandidate(row, context)) {
             continue;
         }
         double load = loadPerSlot(row, context, averages.load);
--- a/modules/sapphirespan_cookie/sapphirespan_cookie.h
+++ b/modules/sapphirespan_cookie/sapphirespan_cookie.h
@@ -15,6 +15,7 @@
 #include "sapphirespan_cookie/instance/CookieInstance.h"
 #include "sapphirespan_cookie/knowledge/KnowledgeSource.h"
 #include "sapphirespan_cookie/knowledge/RouteDirectory.h"
+#include "sapphirespan_cookie/knowledge/StoreRevision.h"
 #include "sapphirespan_cookie/knowledge/UpstreamDirectory.h"
 #include "sapphirespan_cookie/packets/ClientPacket.h"
 #include "sapphirespan_cookie/peers/PeerReport.h"
--- a/modules/sapphirespan_cookie/state/CookieState.cpp
+++ b/modules/sapphirespan_cookie/state/CookieState.cpp
@@ -1,9 +1,19 @@
 #include "sapphirespan_cookie/state/CookieState.h"
 
+#include "sapphirespan_cookie/knowledge/StoreRevision.h"
+
+#include <algorithm>
 #include <cstdio>
 
 namespace sapphirespan {
 
+namespace {
+
+/** Time between two confirmations of the upstreams above which some may have been listed in vain: watches take a second. */
+constexpr Milliseconds longestConfirmationGap {1800};
+
+} // namespace
+
 CookieState::CookieState(CookieInstanceSettings instanceSettings, const PacketFormat &packetFormat, const Clock &instanceClock)
     : settings(std::move(instanceSettings))
     , format(packetFormat)
@@ -46,6 +56,29 @@
     return state.routes.isLoaded() && state.areUpstreamsLoaded;
 }
 
+void raiseConfirmedRevision(CookieState &state, StoreDataKind kind, std::uint64_t revision)
+{
+    auto &confirmed = state.confirmedRevisions;
+    const auto known = std::max(confirmed.routes, confirmed.upstreams);
+    auto &ofKind = kind == StoreDataKind::routes ? confirmed.routes : confirmed.upstreams;
+    ofKind = std::max(ofKind, revision);
+    if (known != 0 && storeGeneration(revision) > storeGeneration(known)) {
+        announce(state, CookieEventKind::storeRestored, 0,
+                 "generation " + std::to_string(storeGeneration(revision)) + ", from revision "
+                     + std::to_string(revisionInGeneration(known)) + " back to " + std::to_string(revisionInGeneration(revision)));
+    }
+}
+
+void confirmStoreData(CookieState &state, StoreDataKind kind, std::uint64_t revision, SteadyTime confirmedAt)
+{
+    if (kind == StoreDataKind::upstreams && confirmedAt - state.upstreamsConfirmedAt > longestConfirmationGap) {
+        state.upstreamsFollowedSince = confirmedAt;
+    }
+    auto &ofKind = kind == StoreDataKind::routes ? state.routesConfirmedAt : state.upstreamsConfirmedAt;
+    ofKind = std::max(ofKind, confirmedAt);
+    raiseConfirmedRevision(state, kind, revision);
+}
+
 Milliseconds storeDataAge(const CookieState &state)
 {
     return std::chrono::duration_cast<Milliseconds>(state.now - std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -80,6 +80,7 @@
     bool areUpstreamsLoaded = false;
     StoreRevisions confirmedRevisions; ///< store revisions up to which this instance's data is complete
     SteadyTime upstreamsConfirmedAt {}; ///< latest time at which the store is known to have matched `upstreams`
+    SteadyTime upstreamsFollowedSince {}; ///< since when `upstreamsConfirmedAt` was never far behind
     SteadyTime routesConfirmedAt {}; ///< latest time at which the store is known to have matched `routes`
     std::deque<RecentChange> recentChanges;
 
@@ -129,6 +130,13 @@
 /** @returns whether both routes and upstreams have been loaded. */
 bool hasRoutesAndUpstreams(const CookieState &state);
 
+/** Records that one part of the data was complete up to a store revision at a time; ignores what is older than known. Announces
+    a revision of a later store generation. */
+void confirmStoreData(CookieState &state, StoreDataKind kind, std::uint64_t revision, SteadyTime confirmedAt);
+
+/** Records that one part of the data is complete up to a store revision, without a time. */
+void raiseConfirmedRevision(CookieState &state, StoreDataKind kind, std::uint64_t revision);
+
 /** @returns the time since the routes and upstreams were last known to match the store; the older of the two counts. */
 Milliseconds storeDataAge(const CookieState &state);
 
--- a/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.cpp
@@ -44,8 +44,8 @@
     std::vector<OtherDataCentre> result;
     for (const auto *row : state.upstreams.listedForService(service)) {
         const auto &name = row->entry.dataCentre;
-        const bool isUsable = row->entry.phase == RegistrationPhase::ready && row->evidence.state == Reachability::reachable
-            && !isAvoided(row->evidence, state.now);
+        const bool isUsable
+            = isReady(*row, state.now) && row->evidence.state == Reachability::reachable && !isAvoided(row->evidence, state.now);
         if (!isUsable || name == state.settings.dataCentre) {
             continue;
         }
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -19,6 +19,9 @@
     none to its peers. */
 constexpr Milliseconds verdictSuppressionTime {1500};
 
+/** Age of the store's data up to which an upstream that is still listed counts as still there. */
+constexpr Milliseconds trustedDataAge {2500};
+
 /** Handles the result of a probe for `ProbePurpose::upstream`. A failure is ignored if it is inconclusive, or if the probe
     started before the upstream became unreachable. */
 void handleUpstreamProbeResult(CookieState &state, UpstreamRow &row, const ProbeRequest &request, ProbeResult result)
@@ -124,6 +127,9 @@
             row->load.waitingRequests += flow.isAwaitingResponse && timeSinceLastPacket < waitingFlowTimeout ? 1 : 0;
         }
     }
+    if (storeDataAge(state) > trustedDataAge) {
+        state.upstreams.prolongHoldBack(state.now);
+    }
     expireServiceLoads(state);
     state.upstreams.removeDepartedBefore(state.now - state.settings.flowLifetime - departedRetentionMargin);
     state.verdicts.removeExpired(state.now);
--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
@@ -1,5 +1,7 @@
 #include "sapphirespan_cookie/systems/CookieKnowledgeSystem.h"
 
+#include "sapphirespan_cookie/knowledge/StoreRevision.h"
+
 #include <algorithm>
 
 namespace sapphirespan {
@@ -144,12 +146,54 @@
         }
     }
     for (const auto id : missing) {
-        if (const auto entry = state.upstreams.markDeparted(id, 0, state.now)) {
+        if (const auto entry = state.upstreams.markUnlisted(id, snapshot.storeRevisions.upstreams, state.now)) {
             queueForPeers(state, *entry, std::nullopt);
         }
     }
 }
 
+/** Applies a configuration, and announces it if its version is new here, or that it was refused if that raised the revision of
+    the one in force. */
+void applyRoutes(CookieState &state, const RouteConfiguration &configuration)
+{
+    const auto version = state.routes.configuration().version;
+    const auto revision = state.routes.configuration().revision;
+    state.routes.apply(configuration);
+    if (state.routes.configuration().revision == revision) {
+        return;
+    }
+    state.isReportUrgent = true;
+    if (configuration.version < version) {
+        announce(state, CookieEventKind::routesRefused, 0,
+                 "version " + std::to_string(configuration.version) + " is older than " + std::to_string(version) + ", which is in force");
+    } else if (configuration.version != version || revision == 0) {
+        announce(state, CookieEventKind::routesInForce, 0, std::to_string(configuration.version));
+    }
+}
+
+/** @returns the phases of all known starts, by cookie. */
+std::unordered_map<FlowCookie, RegistrationPhase> knownPhases(const CookieState &state)
+{
+    std::unordered_map<FlowCookie, RegistrationPhase> result;
+    for (const auto &[cookie, row] : state.upstreams.rows()) {
+        result.emplace(cookie, row.entry.phase);
+    }
+    return result;
+}
+
+/** Queues what a list changed. The first list of a store generation changes all revisions; entries of the same phase are then
+    left to peers to fetch, since they are too many for reports. */
+void queueListChanges(CookieState &state, const std::vector<UpstreamEntry> &changed,
+                      const std::unordered_map<FlowCookie, RegistrationPhase> &phasesBefore, bool isNewGeneration)
+{
+    for (const auto &entry : changed) {
+        const auto before = phasesBefore.find(cookieOf(entry.id, entry.startedAt));
+        if (!isNewGeneration || before == phasesBefore.end() || before->second != entry.phase) {
+            queueForPeers(state, entry, std::nullopt);
+        }
+    }
+}
+
 } // namespace
 
 void mergeUpstreamEntry(CookieState &state, const UpstreamEntry &entry)
@@ -163,9 +207,11 @@
 void mergeStoreList(CookieState &state, const UpstreamList &list)
 {
     const bool wasLoaded = hasRoutesAndUpstreams(state);
+    const bool isNewGeneration = storeGeneration(list.revision) > storeGeneration(state.confirmedRevisions.upstreams);
+    const auto phasesBefore = knownPhases(state);
     const auto changed = state.upstreams.reconcileWithList(list, state.now);
     if (state.areUpstreamsLoaded) {
-        std::for_each(changed.begin(), changed.end(), [&state](const UpstreamEntry &entry) { queueForPeers(state, entry, std::nullopt); });
+        queueListChanges(state, changed, phasesBefore, isNewGeneration);
     }
     state.areUpstreamsLoaded = true;
     recordFirstLoad(state, wasLoaded, false);
@@ -191,11 +237,7 @@
 void applyRouteConfiguration(CookieState &state, const RouteConfiguration &configuration)
 {
     const bool wasLoaded = hasRoutesAndUpstreams(state);
-    if (!state.routes.apply(configuration)) {
-        return;
-    }
-    state.isReportUrgent = true;
-    announce(state, CookieEventKind::routesInForce, 0, std::to_string(configuration.version));
+    applyRoutes(state, configuration);
     recordFirstLoad(state, wasLoaded, false);
 }
 
@@ -224,13 +266,9 @@
     const bool wasLoaded = hasRoutesAndUpstreams(state);
     const auto confirmedAt = state.now - Milliseconds(snapshot.storeDataAgeMs);
     const bool areRoutesCurrent = snapshot.routes.revision != 0 && snapshot.routes.revision >= state.routes.configuration().revision;
-    if (state.routes.apply(snapshot.routes)) {
-        state.isReportUrgent = true;
-        announce(state, CookieEventKind::routesInForce, 0, std::to_string(snapshot.routes.version));
-    }
+    applyRoutes(state, snapshot.routes);
     if (areRoutesCurrent) {
-        state.routesConfirmedAt = std::max(state.routesConfirmedAt, confirmedAt);
-        state.confirmedRevisions.routes = std::max(state.confirmedRevisions.routes, snapshot.storeRevisions.routes);
+        confirmStoreData(state, StoreDataKind::routes, snapshot.storeRevisions.routes, confirmedAt);
     }
     for (const auto &entry : snapshot.upstreams) {
         if (state.areUpstreamsLoaded) {
@@ -242,10 +280,11 @@
     if (!state.areUpstreamsLoaded) {
         state.areUpstreamsLoaded = true;
         state.upstreamsConfirmedAt = confirmedAt;
+        state.upstreamsFollowedSince = confirmedAt;
     }
     if (!snapshot.hasRecentUpstreamsOnly && snapshot.storeRevisions.upstreams > state.confirmedRevisions.upstreams) {
         markMissingAsDeparted(state, snapshot);
-        state.confirmedRevisions.upstreams = snapshot.storeRevisions.upstreams;
+        raiseConfirmedRevision(state, StoreDataKind::upstreams, snapshot.storeRevisions.upstreams);
     }
     recordFirstLoad(state, wasLoaded, true);
 }
--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.h
@@ -14,7 +14,7 @@
 /** Merges incremental changes from the store and queues what is new for peers. */
 void mergeStoreChanges(CookieState &state, const UpstreamChanges &changes);
 
-/** Applies a route configuration from the store; ignores one that is not newer than the present one. An initial load that it
+/** Applies a route configuration from the store; refuses one of an older version than the one in force. An initial load that it
     completes counts as one from the store. Routes from peers come through mergePeerSnapshot(). */
 void applyRouteConfiguration(CookieState &state, const RouteConfiguration &configuration);
 
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -81,7 +81,7 @@
     progress within `recentProgressTime`. */
 bool shouldMoveFlow(const CookieState &state, const UpstreamRow *row)
 {
-    return row == nullptr || row->entry.phase != RegistrationPhase::ready || state.now - row->evidence.lastProgressAt > recentProgressTime;
+    return row == nullptr || !isReady(*row, state.now) || state.now - row->evidence.lastProgressAt > recentProgressTime;
 }
 
 /** Chooses an upstream for a new flow and forwards its opening packet there.
@@ -163,12 +163,13 @@
     }
 }
 
-/** @returns whether an upstream has left for good rather than only lost its connection to the store. */
+/** @returns whether an upstream has left for good rather than only lost its connection to the store, or its entry by a restore of
+    the store. Only time during which the store could be asked counts, since it writes again once it reaches the store. */
 bool isDepartureConfirmed(const CookieState &state, const UpstreamRow &row)
 {
     const bool hasRecentProgress = state.now - row.evidence.lastProgressAt < servingProgressTime;
-    return row.departedAt && state.now - *row.departedAt > departureConfirmationTime && !hasRecentProgress
-        && storeDataAge(state) < staleKnowledgeAge;
+    return row.departedAt && state.now - std::max(*row.departedAt, state.upstreamsFollowedSince) > departureConfirmationTime
+        && !hasRecentProgress && storeDataAge(state) < staleKnowledgeAge;
 }
 
 /** Updates the evidence and load of an upstream from what one packet changed about its flow.
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -121,12 +121,10 @@
 {
     const auto confirmedAt = state.now - Milliseconds(report.storeDataAgeMs);
     if (report.storeDataVersion.upstreamsDigest == state.upstreams.digest()) {
-        state.upstreamsConfirmedAt = std::max(state.upstreamsConfirmedAt, confirmedAt);
-        state.confirmedRevisions.upstreams = std::max(state.confirmedRevisions.upstreams, report.storeRevisions.upstreams);
+        confirmStoreData(state, StoreDataKind::upstreams, report.storeRevisions.upstreams, confirmedAt);
     }
     if (report.storeDataVersion.routesRevision == state.routes.configuration().revision) {
-        state.routesConfirmedAt = std::max(state.routesConfirmedAt, confirmedAt);
-        state.confirmedRevisions.routes = std::max(state.confirmedRevisions.routes, report.storeRevisions.routes);
+        confirmStoreData(state, StoreDataKind::routes, report.storeRevisions.routes, confirmedAt);
     }
 }
 
--- a/modules/sapphirespan_cookie/systems/CookieProbing.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.cpp
@@ -13,7 +13,7 @@
 bool isUsableAsControl(const CookieState &state, const UpstreamRow &row)
 {
     const auto &evidence = row.evidence;
-    return row.entry.phase == RegistrationPhase::ready && evidence.state == Reachability::reachable && evidence.pendingProbes == 0
+    return isReady(row, state.now) && evidence.state == Reachability::reachable && evidence.pendingProbes == 0
         && !isAvoided(evidence, state.now) && !isOpeningOverdue(evidence, state.now);
 }
 
--- a/modules/sapphirespan_cookie/tests/CookieTest.cpp
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -202,7 +202,8 @@
     RouteDirectory routes;
     BOOST_TEST(routes.apply({5, 1, 15s, {{address, {{"old", 1}}}}}));
     BOOST_TEST(routes.apply({9, 2, 15s, {{address, {{"new", 1}}}}}));
-    BOOST_TEST(!routes.apply({7, 3, 15s, {{address, {{"old", 1}}}}}));
+    BOOST_TEST(!routes.apply({7, 2, 15s, {{address, {{"old", 1}}}}}));
+    BOOST_TEST(!routes.apply({10, 1, 15s, {{address, {{"old", 1}}}}}));
     BOOST_TEST(routes.find(address)->services.front().service == "new");
     BOOST_TEST(routes.apply({11, 4, 15s, {}}));
     BOOST_TEST(routes.find(address) == nullptr);
