Let the store of the soak come back from a copy

The stand-in goes back to a copy of itself in the next era, answers 410 to watches from revisions that it does not have, and upstreams and operator write again.

--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -58,17 +58,38 @@
 
 
 class Store:
-    """Lists and watches by revision. `mode` is normal, busy, silent or lost (history gone, once for each watch)."""
+    """Lists and watches by revision. `mode` is normal, busy, silent or lost (history gone, once for each watch). The store can
+    come back from a copy of itself, in the next era: its revisions go back, and what was written since is gone."""
 
     def __init__(self):
         self.kinds, self.history, self.revision, self.mode, self.calls = {"servers": {}, "config": {}}, [], 1, "normal", 0
-        self.lost_before = 0
+        self.lost_before, self.era = 0, 1
+        self.copies = []  # (time, revision, objects by kind) after each write
         self.changed = asyncio.Condition()
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, *address)
 
+    def keep_copy(self):
+        self.copies.append((asyncio.get_running_loop().time(), self.revision, {kind: dict(items) for kind, items in self.kinds.items()}))
+
+    async def restore(self, age):
+        """Goes back to the copy of that many seconds ago, or to the oldest one."""
+        moment = asyncio.get_running_loop().time() - age
+        while len(self.copies) > 1 and self.copies[-1][0] > moment:
+            self.copies.pop()
+        _, self.revision, kinds = self.copies[-1]
+        self.kinds = {kind: dict(items) for kind, items in kinds.items()}
+        self.history = [event for event in self.history if event[0] <= self.revision]
+        self.lost_before = min(self.lost_before, self.revision)
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     async def write(self, kind, name, spec):
+        known = self.kinds[kind].get(name)
+        if spec == (known and known["spec"]):
+            return  # what changes nothing is no change
         self.revision += 1
         item = {"meta": {"name": name, "revision": self.revision, "created": 1, "finalizers": [], "deleting": False}, "spec": spec, "status": None}
         removed = spec is None
@@ -77,6 +98,7 @@
         else:
             self.kinds[kind][name] = item
         self.history.append((self.revision, kind, {"removed": removed, "object": item}))
+        self.keep_copy()
         async with self.changed:
             self.changed.notify_all()
 
@@ -91,7 +113,7 @@
             self.calls += 1
             status, body = await self.answer(line.split(" ")[1])
             text = json.dumps(body).encode()
-            writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text)
+            writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\nContent-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text)
             await writer.drain()
         except (OSError, IndexError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the caller has gone, or the run is over
@@ -108,7 +130,7 @@
         if "watch" not in query:
             return 200, {"items": list(self.kinds[kind].values()), "has_more": False, "as_of": self.revision}
         since = int(query["watch"][0])
-        if since < self.lost_before:
+        if since < self.lost_before or since > self.revision:
             return 410, {}
         events = [event for revision, k, event in self.history if revision > since and k == kind]
         if not events:
@@ -117,6 +139,8 @@
                     await asyncio.wait_for(self.changed.wait(), int(query["wait_ms"][0]) / 1000)
                 except asyncio.TimeoutError:
                     pass
+            if since > self.revision:
+                return 410, {}
             events = [event for revision, k, event in self.history if revision > since and k == kind]
         return 200, {"events": events, "as_of": self.revision}
 
@@ -133,14 +157,21 @@
         self.alive = True
         await self.announce()
 
-    async def announce(self, state="ready"):
+    async def announce(self, state="ready", is_again=False):
         self.state = state
-        if state == "draining":
+        if state == "draining" and not is_again:
             self.drained_at = asyncio.get_running_loop().time()
         spec = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone, "version": "v1",
                 "concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": self.born}
         await self.stage.store.write("servers", f"i-{self.ident:x}", spec)
 
+    async def announce_again(self):
+        """Writes what it wrote last, as servers do from time to time; one that has ended is removed instead."""
+        if self.alive:
+            await self.announce(self.state, is_again=True)
+        else:
+            await self.stage.store.write("servers", f"i-{self.ident:x}", None)
+
     def crash(self):
         self.alive = False
         self.socket.close()
@@ -334,7 +365,26 @@
     async def configure(self, version, extra=0):
         routes = [{"name": name, "hostname": ip, "path_prefix": f"/{port}/", "service": name} for name, (ip, port) in SERVICES.items()]
         routes += [{"name": f"r-{n}", "hostname": "198.18.1.1", "path_prefix": f"/{1000 + n}/", "service": "packhouse"} for n in range(extra)]
-        await self.store.write("config", "main", {"version": version, "routes": routes, "services": [], "limits": {"idle_timeout_ms": 15000}})
+        self.configuration = {"version": version, "routes": routes, "services": [], "limits": {"idle_timeout_ms": 15000}}
+        await self.store.write("config", "main", self.configuration)
+
+    async def restore_store(self, age, pause):
+        """The store comes back from a copy; the upstreams and the operator write again after a pause."""
+        await self.store.restore(age)
+        await asyncio.sleep(pause)
+        for upstream in list(self.upstreams):
+            await upstream.announce_again()
+        await self.store.write("config", "main", self.configuration)
+
+    def stale_instances(self):
+        """@returns the names of the instances whose configuration in force is not the operator's latest, by their logs."""
+        stale = []
+        for instance in self.instances:
+            with open(os.path.join(self.folder.name, instance["name"] + ".log")) as file:
+                versions = [line for line in file if '"routes_in_force"' in line]
+            if not versions or f'"detail":"{self.configuration["version"]}"' not in versions[-1].replace(" ", ""):
+                stale.append(instance["name"])
+        return stale
 
     async def start(self):
         self.store = Store()
@@ -344,6 +394,7 @@
                 for _ in range(2):
                     await self.add_upstream(service, zone)
         await self.configure(3)
+        self.store.copies = self.store.copies[-1:]
         for instance in self.instances:
             self.start_instance(instance)
         self.tasks = [asyncio.create_task(self.watch_readiness())]
