Let an upstream that is not listed answer before its flows are reset

Cause: the list after the restore lacked 15 upstreams, no later change listed them again although they served, and 4 s later the first data on a flow that had been idle was answered with a reset. Class of fault: an entry that is missing is taken for proof that the process has ended.

Such data is now forwarded, and the flow is reset when the client has sent two more copies of it in vain. An upstream that lives acknowledges the first copy at the latest. RestoredStoreTest anUpstreamThatIsNotListedAnswersBeforeItsFlowsAreReset failed before.

Ruled out: a watch that missed the entries (three watchers agree, and the same watches told of a departure at 32.6 s). Not known: why the entries were not written again.

--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -24,6 +24,10 @@
     connection to the store is lost. */
 constexpr Milliseconds servingProgressTime {4000};
 
+/** Number of retransmissions without progress that show that an upstream which is no longer listed does not serve a flow. One that
+    lives acknowledges the first at the latest, so that there is no second. */
+constexpr std::uint8_t unansweredRetransmissions = 2;
+
 /** Counts and announces a dropped packet. @param counter the counter of the reason */
 void dropPacket(CookieState &state, std::uint64_t &counter, const ClientPacket &packet, const char *reason)
 {
@@ -242,7 +246,7 @@
     }
     if (packet.payloadBytes > 0 && isRecentlyUnreachable(row->evidence, state.now)) {
         resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "its upstream is dark");
-    } else if (packet.payloadBytes > 0 && isDepartureConfirmed(state, *row)) {
+    } else if (packet.payloadBytes > 0 && flow.retransmissions >= unansweredRetransmissions && isDepartureConfirmed(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamDeparted, packet.ends, flow, "its upstream has departed");
     } else {
         if (packet.payloadBytes > 0) {
--- a/modules/sapphirespan_cookie/tests/RestoredStoreTest.cpp
+++ b/modules/sapphirespan_cookie/tests/RestoredStoreTest.cpp
@@ -120,12 +120,19 @@
         }
     }
 
-    /** Sends data on a flow that the instance has not seen before. */
+    /** Sends the next data of a flow. */
     void sendData(std::size_t index, FlowCookie cookie)
+    {
+        m_nextSequence += 100;
+        sendCopy(index, cookie);
+    }
+
+    /** Sends a copy of the latest data of the flow. */
+    void sendCopy(std::size_t index, FlowCookie cookie)
     {
         ClientPacket packet;
         packet.ends = {{0x64400001, 40000}, routeAddress};
-        packet.sequence = m_nextSequence += 100;
+        packet.sequence = m_nextSequence;
         packet.acknowledged = 7;
         packet.payloadBytes = 100;
         packet.cookie = cookie;
@@ -375,9 +382,29 @@
     BOOST_TEST(instances[0].counters().resetUpstreamDeparted == 0U);
     instances.run(4s, [&] { instances.confirm(0, restored(50)); });
     instances.sendData(0, cookieOf(1, 100));
+    for (const auto pause : {200ms, 400ms}) {
+        instances.run(pause, [&] { instances.confirm(0, restored(50)); });
+        instances.sendCopy(0, cookieOf(1, 100));
+    }
     BOOST_TEST(instances[0].counters().resetUpstreamDeparted == 1U); // it has left for good
 }
 
+/** Guards against resets of the flows of a living upstream that does not write again for long: it gets the chance to answer. */
+BOOST_AUTO_TEST_CASE(anUpstreamThatIsNotListedAnswersBeforeItsFlowsAreReset)
+{
+    Instances instances(1);
+    instances.load(0, configurationOf(60, 11), {60, {entryOf(1, 100, 55), entryOf(2, 100, 20)}, {}}, 60);
+    instances.run(1s, [&] { instances.confirm(0, 60); });
+    instances.sendData(0, cookieOf(1, 100));
+    instances.load(0, configurationOf(60, 11), {restored(50), {entryOf(2, 100, restored(20))}, {}}, restored(50));
+    instances.run(8s, [&] { instances.confirm(0, restored(50)); });
+    instances.sendData(0, cookieOf(1, 100));
+    BOOST_TEST(instances[0].counters().resetUpstreamDeparted == 0U);
+    instances.run(200ms, [&] { instances.confirm(0, restored(50)); });
+    instances.sendCopy(0, cookieOf(1, 100));
+    BOOST_TEST(instances[0].counters().resetUpstreamDeparted == 0U);
+}
+
 /** Guards against a line for each upstream, and a change in every report, when all revisions are new. */
 BOOST_AUTO_TEST_CASE(upstreamsThatAreListedAsBeforeAreNoChange)
 {
