--- a/modules/sapphirespan_cookie/state/CookieState.cpp
+++ b/modules/sapphirespan_cookie/state/CookieState.cpp
@@ -9,9 +9,15 @@
 
 namespace {
 
-/** Time between two confirmations of the upstreams above which some may have been listed in vain: watches take a second. */
+/** Time between two confirmations of the upstreams above which the store counts as out of reach meanwhile; a watch takes a
+    second. */
 constexpr Milliseconds longestConfirmationGap {1800};
 
+std::string revisionText(std::uint64_t revision)
+{
+    return "generation " + std::to_string(storeGeneration(revision)) + " at revision " + std::to_string(revisionInGeneration(revision));
+}
+
 } // namespace
 
 CookieState::CookieState(CookieInstanceSettings instanceSettings, const PacketFormat &packetFormat, const Clock &instanceClock)
@@ -63,9 +69,7 @@
     auto &ofKind = kind == StoreDataKind::routes ? confirmed.routes : confirmed.upstreams;
     ofKind = std::max(ofKind, revision);
     if (known != 0 && storeGeneration(revision) > storeGeneration(known)) {
-        announce(state, CookieEventKind::storeRestored, 0,
-                 "generation " + std::to_string(storeGeneration(revision)) + ", from revision "
-                     + std::to_string(revisionInGeneration(known)) + " back to " + std::to_string(revisionInGeneration(revision)));
+        announce(state, CookieEventKind::storeRestored, 0, revisionText(revision) + ", after " + revisionText(known));
     }
 }
 
