--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -82,7 +82,7 @@
     StoreRevisions confirmedRevisions; ///< store revisions up to which this instance's data is complete
     SteadyTime upstreamsConfirmedAt {}; ///< latest time at which the store is known to have matched `upstreams`
     SteadyTime routesConfirmedAt {}; ///< latest time at which the store is known to have matched `routes`
-    SteadyTime storeDataLastStaleAt {}; ///< latest tick at which routes or upstreams might have been out of date
+    SteadyTime storeLastOutOfReachAt {}; ///< latest tick at which no watcher seemed to hear from the store
     std::deque<RecentChange> recentChanges;
 
     FlowTrackingTable flows;
@@ -134,6 +134,16 @@
 /** Age from which routes and upstreams may be out of date: what is missing in them may just not be known here yet. */
 inline constexpr Milliseconds staleStoreDataAge {2500};
 
+/** Age from which the store counts as out of reach. Watchers hear from it every second, and others of that by their reports. */
+inline constexpr Milliseconds outOfReachStoreDataAge {1800};
+
+/** Records that one part of the data was complete up to a store revision at a time; ignores what is older than known. Announces
+    a revision of a later store generation. */
+void confirmStoreData(CookieState &state, StoreDataKind kind, std::uint64_t revision, SteadyTime confirmedAt);
+
+/** Records that one part of the data is complete up to a store revision, without a time. */
+void raiseConfirmedRevision(CookieState &state, StoreDataKind kind, std::uint64_t revision);
+
 /** @returns the time since the routes and upstreams were last known to match the store; the older of the two counts. */
 Milliseconds storeDataAge(const CookieState &state);
 
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -20,6 +20,10 @@
     connection to the store is lost. */
 constexpr Milliseconds servingProgressTime {4000};
 
+/** Number of retransmissions without progress that show that an upstream which is no longer listed does not serve a flow. One that
+    lives acknowledges the first at the latest, so that there is no second. */
+constexpr std::uint8_t unansweredRetransmissions = 2;
+
 /** Counts and announces a dropped packet. @param counter the counter of the reason */
 void dropPacket(CookieState &state, std::uint64_t &counter, const ClientPacket &packet, const char *reason)
 {
@@ -77,7 +81,7 @@
     progress within `recentProgressTime`. */
 bool shouldMoveFlow(const CookieState &state, const UpstreamRow *row)
 {
-    return row == nullptr || row->entry.phase != RegistrationPhase::ready || state.now - row->evidence.lastProgressAt > recentProgressTime;
+    return row == nullptr || !isReady(*row, state.now) || state.now - row->evidence.lastProgressAt > recentProgressTime;
 }
 
 /** Chooses an upstream for a new flow and forwards its opening packet there.
@@ -159,12 +163,13 @@
     }
 }
 
-/** @returns whether an upstream has left for good rather than only lost its connection to the store. */
+/** @returns whether an upstream has left for good rather than only lost its connection to the store, or its entry by a restore of
+    the store. Only time during which the store could be asked counts, since it writes again once it reaches the store. */
 bool isDepartureConfirmed(const CookieState &state, const UpstreamRow &row)
 {
     const bool hasRecentProgress = state.now - row.evidence.lastProgressAt < servingProgressTime;
     return row.departedAt && !hasRecentProgress && !isStoreDataStale(state)
-        && state.now - std::max(*row.departedAt, state.storeDataLastStaleAt) > departureConfirmationTime;
+        && state.now - std::max(*row.departedAt, state.storeLastOutOfReachAt) > departureConfirmationTime;
 }
 
 /** Updates the evidence and load of an upstream from what one packet changed about its flow.
@@ -237,7 +242,7 @@
     }
     if (packet.payloadBytes > 0 && mayResetFlows(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "its upstream is dark");
-    } else if (packet.payloadBytes > 0 && isDepartureConfirmed(state, *row)) {
+    } else if (packet.payloadBytes > 0 && flow.retransmissions >= unansweredRetransmissions && isDepartureConfirmed(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamDeparted, packet.ends, flow, "its upstream has departed");
     } else {
         if (packet.payloadBytes > 0) {
