--- a/modules/sapphirespan_net/http/HttpClient.cpp
+++ b/modules/sapphirespan_net/http/HttpClient.cpp
@@ -48,6 +48,22 @@
 
 } // namespace
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (unreserved.find(character) != std::string_view::npos) {
+            result += character;
+        } else {
+            result += {'%', digits[byte >> 4], digits[byte & 0xf]};
+        }
+    }
+    return result;
+}
+
 struct HttpClient::Call {
     HttpClient *client = nullptr;
     evhttp_connection *connection = nullptr;
--- a/modules/sapphirespan_net/http/HttpClient.h
+++ b/modules/sapphirespan_net/http/HttpClient.h
@@ -15,6 +15,9 @@
     bool wasSent = false;
 };
 
+/** @returns a text as part of a path or query: what is no letter, digit or one of "-._~" is percent-encoded. */
+std::string percentEncoded(std::string_view text);
+
 /** Sends HTTP requests, each on a connection of its own, so that a late answer cannot be taken for another's.
 
     Thread safety: none.
@@ -31,7 +34,7 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /** Sends a request. @param target path and query @param deadline after which the outcome is "no answer" */
+    /** Sends a request. @param target path and query, encoded @param deadline after which the outcome is "no answer" */
     void send(const Endpoint &server, HttpMethod method, const std::string &target, const std::map<std::string, std::string> &headers,
               const std::string &body, Milliseconds deadline, Callback callback);
 
