Keep reports to peers within a datagram whatever texts entries hold

Operators would see every instance lose its peers (reports not received, each instance asking the store for itself, no verdicts passed on) for as long as the entry of an upstream, or a verdict about its data centre, holds a text of some thousands of bytes.

Cause: a report was limited by the number of its items only, and the texts come from the store's entries, which may be 1 MB long. Beyond 64 KB the system refuses the datagram, beyond 9 KB the receiver cuts it off and cannot decode it; either way all of the report is lost. Class: a limit on the number of items where the size is to be limited.

Change: the verdicts and the changes of a report have a space of 2,800 bytes each, and an item that does not fit is left out. Usual reports stay as they are: 24 verdicts and 8 changes with names of up to 40 bytes fit.

Evidence: ReportSizeTest/longTextsLeaveReportsWithinADatagram failed before: reports of 1,072,074 bytes, the limit is 8,192.

--- a/modules/sapphirespan_cookie/peers/PeerReport.h
+++ b/modules/sapphirespan_cookie/peers/PeerReport.h
@@ -64,6 +64,10 @@
     bool reachesStore = true; ///< as of that sign of life
 };
 
+/** Upper limit of an encoded report. A longer datagram than a jumbo frame is cut off when it is received, and one beyond 64 KB
+    is not sent at all. */
+inline constexpr std::size_t maxReportBytes = 8192;
+
 /** Message from one instance to another, sent as one UDP datagram. */
 struct PeerReport {
     PeerDescriptor sender;
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -62,6 +62,15 @@
 constexpr std::size_t maxKnownPeersPerReport = 8;
 constexpr std::size_t maxVerdictsPerReport = 24;
 
+/** Space in a report for its verdicts and for its changes of upstreams. What remains of maxReportBytes is enough for the sender
+    and the known peers, whose texts come from settings. */
+constexpr std::size_t maxVerdictBytes = 2800;
+constexpr std::size_t maxChangeBytes = 2800;
+
+/** Upper limits of what the numbers of one item, and the headers of its texts, take when encoded. */
+constexpr std::size_t maxVerdictNumberBytes = 32;
+constexpr std::size_t maxChangeNumberBytes = 64;
+
 bool isStoreReachable(const CookieState &state)
 {
     return !state.storeFailedAt || state.now - *state.storeFailedAt > storeRetryDelay;
@@ -85,6 +94,40 @@
     return state.leaveDeadline ? PeerPhase::waitingToLeave : PeerPhase::serving;
 }
 
+/** Takes space for one item out of what remains. Texts come from other writers and may be of any length.
+    @returns false if the item does not fit
+*/
+bool takeSpace(std::size_t &remainingBytes, std::size_t itemBytes)
+{
+    const bool fits = itemBytes <= remainingBytes;
+    remainingBytes -= fits ? itemBytes : 0;
+    return fits;
+}
+
+void addVerdicts(PeerReport &report, const CookieState &state)
+{
+    auto remainingBytes = maxVerdictBytes;
+    for (const auto &verdict : state.verdicts.verdictsToForward(state.now, maxVerdictsPerReport)) {
+        if (takeSpace(remainingBytes, maxVerdictNumberBytes + verdict.subject.dataCentre.size() + verdict.proberDataCentre.size())) {
+            report.verdicts.push_back(
+                {verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result, millisecondsSince(state, verdict.foundAt)});
+        }
+    }
+}
+
+/** Adds the latest changes of upstreams. Peers find out about one that does not fit by comparing digests, and fetch it. */
+void addUpstreamChanges(PeerReport &report, const CookieState &state)
+{
+    auto remainingBytes = maxChangeBytes;
+    for (auto change = state.recentChanges.rbegin();
+         change != state.recentChanges.rend() && report.upstreamChanges.size() < maxChangesPerReport; ++change) {
+        const auto &entry = change->entry;
+        if (takeSpace(remainingBytes, maxChangeNumberBytes + entry.service.size() + entry.dataCentre.size())) {
+            report.upstreamChanges.push_back(entry);
+        }
+    }
+}
+
 /** Builds a report and uses up one sequence number.
     @param isUrgent omits known peers, which can wait for the next regular report
 */
@@ -99,17 +142,11 @@
     report.storeDataVersion = {state.routes.configuration().revision, state.upstreams.digest()};
     report.storeRevisions = state.confirmedRevisions;
     report.storeDataAgeMs = millisecondsSince(state, std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
-    for (const auto &verdict : state.verdicts.verdictsToForward(state.now, maxVerdictsPerReport)) {
-        report.verdicts.push_back(
-            {verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result, millisecondsSince(state, verdict.foundAt)});
-    }
+    addVerdicts(report, state);
     while (!state.recentChanges.empty() && state.now - state.recentChanges.front().learnedAt > recentChangeLifetime) {
         state.recentChanges.pop_front();
     }
-    for (auto change = state.recentChanges.rbegin();
-         change != state.recentChanges.rend() && report.upstreamChanges.size() < maxChangesPerReport; ++change) {
-        report.upstreamChanges.push_back(change->entry);
-    }
+    addUpstreamChanges(report, state);
     if (!isUrgent) {
         report.knownPeers = state.peers.selectKnownPeers(state.now, maxKnownPeersPerReport, state.random);
     }
