Reject addresses with a NUL in them

An entry of the address "10.0.0.1\u0000..." was taken for 10.0.0.1: inet_pton() reads up to the NUL. Class: a text with its length handed to a function that reads to the first NUL.

The check comes before either family is tried, so it covers settings, messages of peers and entries alike.

--- a/modules/sapphirespan_base/net/IpAddress.cpp
+++ b/modules/sapphirespan_base/net/IpAddress.cpp
@@ -8,6 +8,9 @@
 
 std::optional<IpAddress> IpAddress::parse(const std::string &text)
 {
+    if (text.find('\0') != std::string::npos) {
+        return std::nullopt; // inet_pton() reads up to there
+    }
     IpAddress address;
     if (inet_pton(AF_INET, text.c_str(), address.bytes.data()) == 1) {
         return address;
--- a/modules/sapphirespan_base/tests/BaseTest.cpp
+++ b/modules/sapphirespan_base/tests/BaseTest.cpp
@@ -16,6 +16,16 @@
     }
 }
 
+/** What follows a NUL was ignored. */
+BOOST_AUTO_TEST_CASE(anAddressWithANulIsNone)
+{
+    using namespace std::string_literals;
+    for (const auto &text : {"10.1.2.3\0x:80"s, "10.1.2.3\0:80"s, "[fd00::1\0]:443"s, "10.1.2.3:80\0"s}) {
+        BOOST_TEST(!Endpoint::parse(text).has_value());
+    }
+    BOOST_TEST(!IpAddress::parse("10.1.2.3\0"s).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(findingsAreSortedByPlace)
 {
     FindingList findings;
