Leave out routes without services

Cause: RouteDirectory::pickServiceByWeight() demands a service, and neither decoder saw to it. Class: a precondition that inputs are not checked for.

--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -146,7 +146,7 @@
 Route routeFrom(const msgpack::object &object)
 {
     const auto list = listFrom(object);
-    if (list.size() % 2 != 1) {
+    if (list.size() < 3 || list.size() % 2 != 1) {
         throw BadMessage {};
     }
     Route route {ipv4From(list[0]), {}};
--- a/modules/sapphirespan_cookie/tests/CookieTest.cpp
+++ b/modules/sapphirespan_cookie/tests/CookieTest.cpp
@@ -547,6 +547,13 @@
     BOOST_TEST(holds);
 }
 
+/** A route without services has none to choose for a flow. */
+BOOST_AUTO_TEST_CASE(aSnapshotWithARouteWithoutServicesIsRejected)
+{
+    const auto bytes = encode(StoreDataSnapshot {{4, 5, 15s, {{{1, 2}, {}}}}, {}, {7, 8}, false, 99});
+    BOOST_TEST(!decodeSnapshot({reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size()}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(anOldIncarnationIsNotHeard)
 {
     PeerTable table({"entry-0", 1, "a", {}, {}});
