Accept answers of up to 32 MB

Operators would see "no answer" for each watch, again and again, once an entry of another writer of up to 1 MB has changed three times before the store answers: the answer with these changes exceeds 2 MB, is refused, and is asked for again from the same revision, until the history is gone.

Cause: one limit for all answers, of twice the largest object. Class: a limit on the sum set by the size of one part.

Change: the limit is 32 MB; the deadline of a call bounds an answer as well.

Evidence: StoreWatcherTest/largeEntriesLeaveTheOtherChanges (eight changes of 1 MB) failed before ("no answer", no change told).

--- a/modules/sapphirespan_net/http/HttpClient.cpp
+++ b/modules/sapphirespan_net/http/HttpClient.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::size_t largestAnswerBytes = 2 << 20;
+/** The changes of a moment come in one answer, and a single object may be 1 MB. */
+constexpr std::size_t largestAnswerBytes = 32 << 20;
 
 evhttp_cmd_type commandOf(HttpMethod method)
 {
