--- a/modules/sapphirespan_net/tests/NetTest.cpp
+++ b/modules/sapphirespan_net/tests/NetTest.cpp
@@ -1,6 +1,7 @@
 #include "sapphirespan_net/sapphirespan_net.h"
 
 #include <boost/test/unit_test.hpp>
+#include <jsonrpccpp/server.h>
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -23,6 +24,23 @@
     return server;
 }
 
+/** A JSON-RPC server with one method. */
+class EchoService : public jsonrpc::AbstractServer<EchoService>
+{
+public:
+    explicit EchoService(JsonRpcServerConnector &connector)
+        : AbstractServer(connector)
+    {
+        bindAndAddMethod(jsonrpc::Procedure("echo", jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "text", jsonrpc::JSON_STRING, nullptr),
+                         &EchoService::echo);
+    }
+
+    void echo(const Json::Value &parameters, Json::Value &result)
+    {
+        result["text"] = parameters["text"];
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(requestsReachTheHandlerAndAnswersTheCaller)
@@ -196,3 +214,18 @@
     receiver->receiveWaiting();
     BOOST_TEST(received == packets);
 }
+
+/** A request whose values are nested too deeply for the parser ended the process. */
+BOOST_AUTO_TEST_CASE(aDeeplyNestedRequestIsAnsweredWithAnError)
+{
+    JsonRpcServerConnector connector;
+    EchoService service(connector);
+    for (const std::size_t depth : {1'000U, 2'000U, 1'000'000U}) {
+        const auto nested = std::string(depth, '[') + std::string(depth, ']');
+        for (const auto &request : {nested, R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":)" + nested + "}}"}) {
+            BOOST_TEST(connector.handle(request).find(R"("error")") != std::string::npos);
+        }
+    }
+    const auto answer = connector.handle(R"({"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"a"}})");
+    BOOST_TEST(answer.find(R"("text":"a")") != std::string::npos);
+}
