--- a/modules/sapphirespan_net/http/HttpClient.cpp
+++ b/modules/sapphirespan_net/http/HttpClient.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::size_t largestAnswerBytes = 2 << 20;
+/** The changes of a moment come in one answer, and a single object may be 1 MB. */
+constexpr std::size_t largestAnswerBytes = 32 << 20;
 
 evhttp_cmd_type commandOf(HttpMethod method)
 {
@@ -48,6 +49,22 @@
 
 } // namespace
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (unreserved.find(character) != std::string_view::npos) {
+            result += character;
+        } else {
+            result += {'%', digits[byte >> 4], digits[byte & 0xf]};
+        }
+    }
+    return result;
+}
+
 struct HttpClient::Call {
     HttpClient *client = nullptr;
     evhttp_connection *connection = nullptr;
