Count nothing that waited during a pause as found now

What callers would see: after an instance stood still, open flows reset by a probe that it had missed while it did, or by store data that only looked fresh.

--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -96,7 +96,11 @@
 
 void CookieInstance::storeConfirmed(StoreDataKind part, std::uint64_t revision)
 {
-    confirmStoreData(*m_state, part, revision, m_state->now);
+    if (isReadingBacklog(*m_state)) {
+        raiseConfirmedRevision(*m_state, part, revision);
+    } else {
+        confirmStoreData(*m_state, part, revision, m_state->now);
+    }
     m_state->storeFailedAt.reset();
 }
 
--- a/modules/sapphirespan_cookie/state/CookieState.cpp
+++ b/modules/sapphirespan_cookie/state/CookieState.cpp
@@ -53,6 +53,11 @@
     return std::uniform_real_distribution<double>()(state.random);
 }
 
+bool isReadingBacklog(const CookieState &state)
+{
+    return state.resumedAt && state.now - *state.resumedAt < backlogReadingTime;
+}
+
 bool hasRoutesAndUpstreams(const CookieState &state)
 {
     return state.routes.isLoaded() && state.areUpstreamsLoaded;
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -67,7 +67,7 @@
     SteadyTime startedAt {};
     SteadyTime lastTickAt {};
     SteadyTime runningLateUntil {}; ///< upstreams are not evaluated before this time, after a tick that came late
-    SteadyTime resumedAt {}; ///< end of the latest pause of the process
+    std::optional<SteadyTime> resumedAt; ///< end of the latest pause of the process
     SteadyTime lastFlowSweepAt {};
     SteadyTime lastClientPacketAt {};
     std::optional<SteadyTime> leaveDeadline; ///< latest time to start leaving; set when leaving is requested
@@ -128,6 +128,13 @@
 /** @returns a uniformly distributed random number in [0, 1). */
 double uniformRandom(CookieState &state);
 
+/** Time after a pause of the process in which it reads what waited in its sockets. The ages in it count from when it was sent, and by
+    how much that is too low is not known. */
+inline constexpr Milliseconds backlogReadingTime {400};
+
+/** @returns whether what is read now may have waited in a socket during a pause. */
+bool isReadingBacklog(const CookieState &state);
+
 /** @returns whether both routes and upstreams have been loaded. */
 bool hasRoutesAndUpstreams(const CookieState &state);
 
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -100,6 +100,10 @@
 
 void handleProbeResult(CookieState &state, const ProbeRequest &request, ProbeResult result)
 {
+    if (isFailure(result) && state.resumedAt && request.startedAt < *state.resumedAt) {
+        handleProbeNotMade(state, request); // found before the pause, or missed because of it
+        return;
+    }
     if (result != ProbeResult::silent) {
         state.lastAnsweredProbeStartedAt = std::max(state.lastAnsweredProbeStartedAt, request.startedAt);
     }
--- a/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieKnowledgeSystem.cpp
@@ -264,7 +264,7 @@
 void mergePeerSnapshot(CookieState &state, const StoreDataSnapshot &snapshot)
 {
     const bool wasLoaded = hasRoutesAndUpstreams(state);
-    const auto confirmedAt = state.now - Milliseconds(snapshot.storeDataAgeMs);
+    const auto confirmedAt = isReadingBacklog(state) ? SteadyTime {} : state.now - Milliseconds(snapshot.storeDataAgeMs);
     const bool areRoutesCurrent = snapshot.routes.revision != 0 && snapshot.routes.revision >= state.routes.configuration().revision;
     applyRoutes(state, snapshot.routes);
     if (areRoutesCurrent) {
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -59,10 +59,6 @@
 /** Minimum time for which a watcher continues, so that small changes of rank do not make it start and stop repeatedly. */
 constexpr Milliseconds minWatchDuration {1500};
 
-/** Time after a pause of the process in which reports that waited in the socket are read. Their ages count from when they were sent,
-    and by how much that is too low is not known. */
-constexpr Milliseconds backlogReadingTime {200};
-
 constexpr std::size_t maxKnownPeersPerReport = 8;
 constexpr std::size_t maxVerdictsPerReport = 24;
 
@@ -248,7 +244,7 @@
     if (!report) {
         return;
     }
-    if (state.now - state.resumedAt < backlogReadingTime) {
+    if (isReadingBacklog(state)) {
         mergeUpstreamEntries(state, report->upstreamChanges); // ordered by revision, so no age matters
         return;
     }
