Limit the log lines about attempts that could not be made

While descriptors are short, each upstream in doubt is due again every 50 ms, and each attempt wrote a line. Now one a second. Not covered by a test.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -23,6 +23,9 @@
 /** Time for a connection attempt to an upstream; a few times the longest round trip. */
 constexpr Milliseconds probeDeadline = 60ms;
 
+/** Time between two log lines about attempts that could not be made. */
+constexpr Milliseconds probeWarningPeriod = 1s;
+
 /** Time for a peer's snapshot. */
 constexpr Milliseconds snapshotDeadline = 500ms;
 
@@ -243,7 +246,7 @@
             if (const auto result = resultOf(outcome)) {
                 m_instance.probeEnded(request, *result);
             } else {
-                m_log.warning("probe_not_made", fields({{"upstream", request.address.toText()}, {"reason", m_prober.lastFailure()}}));
+                reportProbeNotMade(request);
                 m_instance.probeNotMade(request);
             }
             carryOut();
@@ -255,6 +258,15 @@
     m_source->setActive(m_instance.shouldQueryStore(), m_instance.storeRevisions());
 }
 
+/** Logs at most one attempt per period: while descriptors are short, each upstream in doubt is due again at every tick. */
+void CookieDaemon::reportProbeNotMade(const ProbeRequest &request)
+{
+    if (const auto now = m_clock.steadyNow(); now >= m_nextProbeWarningAt) {
+        m_nextProbeWarningAt = now + probeWarningPeriod;
+        m_log.warning("probe_not_made", fields({{"upstream", request.address.toText()}, {"reason", m_prober.lastFailure()}}));
+    }
+}
+
 void CookieDaemon::fetchSnapshot(const SnapshotRequest &request)
 {
     if (m_isFetching) {
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -34,6 +34,7 @@
     HttpResponse controlAnswer(const HttpRequest &request);
     HttpResponse snapshotAnswer(const HttpRequest &request);
     void carryOut();
+    void reportProbeNotMade(const ProbeRequest &request);
     void fetchSnapshot(const SnapshotRequest &request);
     void tick();
     void checkLeaving();
@@ -51,6 +52,7 @@
     CookieInstance m_instance;
     std::unique_ptr<StoreDataSource> m_source;
     HttpClient m_client;
+    SteadyTime m_nextProbeWarningAt {};
     ConnectionProber m_prober;
     std::unique_ptr<UdpSocket> m_ingress;
     std::unique_ptr<UdpSocket> m_peer;
