Let data centres recover after their upstreams were probed one by one, and keep the flows of refusing upstreams

An upstream that was marked without a probe stays so when it fails one; a data centre without candidates for a sample is no longer evaluated as a whole, also when a quorum of peers made it suspect. 2. The silence that one peer met renewed the right to reset flows that were kept because the own probe was refused. Now only an own probe, a quorum, or a sample of the data centre gives that right. 3. And an upstream that served after a cut had healed no longer keeps its flows through every later cut.

--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -30,17 +30,9 @@
     return Microseconds(static_cast<std::int64_t>(static_cast<double>(Microseconds(backoff).count()) * (0.75 + 0.75 * jitter)));
 }
 
-void noteFailure(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt)
+void scheduleRetry(UpstreamEvidence &evidence, SteadyTime probedAt, double jitter)
 {
-    evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
-    if (result == ProbeResult::silent) {
-        evidence.lastSilenceAt = std::max(evidence.lastSilenceAt, foundAt);
-    }
-}
-
-void scheduleRetry(UpstreamEvidence &evidence, ProbeResult result, SteadyTime probedAt, double jitter)
-{
-    noteFailure(evidence, result, probedAt);
+    evidence.lastFailureAt = std::max(evidence.lastFailureAt, probedAt);
     evidence.unreachableUntil = probedAt + retryBackoff(evidence, jitter);
     evidence.retryBackoffExponent = static_cast<std::uint8_t>(std::min(evidence.retryBackoffExponent + 1, 8));
 }
@@ -67,7 +59,8 @@
 bool noteProgress(UpstreamEvidence &evidence, SteadyTime now)
 {
     const bool hasRecovered = evidence.state != Reachability::reachable;
-    const bool isRefusing = evidence.state == Reachability::unreachable && evidence.lastFailureAt > evidence.lastSilenceAt;
+    const bool isRefusing = evidence.state == Reachability::unreachable && now - evidence.lastFailureAt < failureValidity
+        && (!evidence.lastSilenceAt || evidence.lastFailureAt > *evidence.lastSilenceAt);
     evidence.hasServedDespiteRefusal = evidence.hasServedDespiteRefusal || isRefusing;
     resetToReachable(evidence, now);
     evidence.retryBackoffExponent = 0;
@@ -90,7 +83,9 @@
 
 void noteStall(UpstreamEvidence &evidence, bool isOpening, SteadyTime now)
 {
-    evidence.stalledSince = evidence.stalledSince.value_or(now);
+    if (!isOpening) {
+        evidence.stalledSince = evidence.stalledSince.value_or(now); // a lost opening says nothing about open flows
+    }
     auto &count = isOpening ? evidence.stalledOpenings : evidence.stalledFlows;
     count = static_cast<std::uint16_t>(std::min(count + 1, 0xffff));
 }
@@ -132,9 +127,15 @@
         return false;
     }
     const bool becameUnreachable = evidence.state != Reachability::unreachable;
+    if (result == ProbeResult::silent) {
+        evidence.lastSilenceAt = now;
+    }
+    if (evidence.isUnreachableWithoutProbe) {
+        extendUnreachablePeriod(evidence, now); // the peers, or the sample of its data centre, go on deciding when it is back
+        return false;
+    }
     setState(evidence, Reachability::unreachable, now);
-    evidence.isUnreachableWithoutProbe = false;
-    scheduleRetry(evidence, result, now, jitter);
+    scheduleRetry(evidence, now, jitter);
     return becameUnreachable;
 }
 
@@ -144,9 +145,9 @@
     const auto margin = verdict.result == ProbeResult::refused ? Milliseconds(0) : recentProgressWindow;
     if (evidence.state == Reachability::unreachable) {
         if (evidence.isUnreachableWithoutProbe) {
-            extendUnreachablePeriod(evidence, verdict.result, foundAt);
+            extendUnreachablePeriod(evidence, foundAt);
         } else if (foundAt - evidence.lastFailureAt > initialRetryBackoff / 2) {
-            scheduleRetry(evidence, verdict.result, foundAt, jitter);
+            scheduleRetry(evidence, foundAt, jitter);
         }
         return true;
     }
@@ -173,17 +174,20 @@
     if (evidence.state == Reachability::unreachable) {
         return false;
     }
-    noteFailure(evidence, result, foundAt);
+    evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
+    if (result == ProbeResult::silent) {
+        evidence.lastSilenceAt = std::max(evidence.lastSilenceAt.value_or(foundAt), foundAt);
+    }
     setState(evidence, Reachability::unreachable, now);
     evidence.isUnreachableWithoutProbe = true;
     evidence.unreachableUntil = now + verdictLifetime;
     return true;
 }
 
-void extendUnreachablePeriod(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt)
+void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt)
 {
     if (evidence.isUnreachableWithoutProbe) {
-        noteFailure(evidence, result, foundAt);
+        evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
         evidence.unreachableUntil = std::max(evidence.unreachableUntil, foundAt + verdictLifetime);
     }
 }
@@ -223,8 +227,8 @@
     }
     const auto maxStall = std::max<Microseconds>(minStallBesideRefusal, usualResponseTime * stallBesideRefusalFactor);
     const bool isStalled = evidence.stalledSince && now - *evidence.stalledSince >= maxStall;
-    return now - evidence.lastSilenceAt < failureValidity
-        || (isStalled && !evidence.hasServedDespiteRefusal && now - evidence.lastFailureAt < failureValidity);
+    const bool isSilent = evidence.lastSilenceAt && now - *evidence.lastSilenceAt < failureValidity;
+    return isSilent || (isStalled && !evidence.hasServedDespiteRefusal && now - evidence.lastFailureAt < failureValidity);
 }
 
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now)
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -46,8 +46,8 @@
     bool isUnreachableWithoutProbe = false; ///< by verdicts of peers or with its data centre; this instance does not probe it
     bool isReportedUnreachable = false; ///< by a peer; one silent probe then suffices
     SteadyTime lastFailureAt {}; ///< latest failed probe known, by this instance or a peer, of it or of its data centre
-    SteadyTime lastSilenceAt {}; ///< of these, the latest that was not answered at all
-    std::optional<SteadyTime> stalledSince; ///< first retransmission since the last progress
+    std::optional<SteadyTime> lastSilenceAt; ///< latest probe left unanswered, by this instance, a quorum, or a sample of its data centre
+    std::optional<SteadyTime> stalledSince; ///< first retransmission of data since the last progress
     bool hasServedDespiteRefusal = false; ///< flows made progress after a refused probe, so a refusal says nothing about them
     bool areFlowsReset = false; ///< since it became unreachable
     SteadyTime avoidedSince {}; ///< time of the latest verdict or data centre check against it
@@ -137,7 +137,7 @@
 bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt, SteadyTime now);
 
 /** Keeps an upstream that was marked unreachable without a probe so until verdictLifetime after a failure. */
-void extendUnreachablePeriod(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt);
+void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt);
 
 /** Records a peer's verdict that the upstream answered. From another data centre, it only brings forward the next probe
     of an upstream that this instance found unreachable itself.
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -51,7 +51,10 @@
     evidence.stateSince = now;
 }
 
-/** Probes a random sample of a data centre's upstreams, and queues a self-check probe. */
+void markDataCentreReachable(CookieState &state, const std::string &name, DataCentreEvidence &evidence, std::string_view reason);
+
+/** Probes a random sample of a data centre's upstreams, and queues a self-check probe. If each of them is unreachable by probes of
+    its own, which are repeated, there is nothing to sample, and the data centre as a whole is no longer evaluated. */
 void startSampleProbes(CookieState &state, const std::string &name, DataCentreEvidence &evidence)
 {
     std::vector<UpstreamRow *> candidates;
@@ -60,6 +63,10 @@
             candidates.push_back(&row);
         }
     });
+    if (candidates.empty()) {
+        markDataCentreReachable(state, name, evidence, "each of its upstreams is probed by itself");
+        return;
+    }
     std::shuffle(candidates.begin(), candidates.end(), state.random);
     candidates.resize(std::min(candidates.size(), dataCentreSampleSize));
     evidence.pendingSampleProbes = static_cast<std::uint8_t>(candidates.size());
@@ -102,7 +109,8 @@
     }
     forEachListedUpstream(state, name, [&state, foundAt = evidence.lastFailureAt](UpstreamRow &row) {
         if (state.now - row.evidence.lastProgressAt >= suspectAfterNoProgress) {
-            extendUnreachablePeriod(row.evidence, ProbeResult::silent, foundAt);
+            extendUnreachablePeriod(row.evidence, foundAt);
+            row.evidence.lastSilenceAt = foundAt;
             markUnreachableWithoutProbe(row.evidence, ProbeResult::silent, foundAt, state.now);
             state.upstreamsToEvaluate.insert(row.cookie);
         }
@@ -262,8 +270,7 @@
         } else if (verdict.foundAt - evidence.lastFailureAt > initialRetryBackoff / 2) {
             scheduleDataCentreRetry(state, evidence, verdict.foundAt);
         }
-        forEachListedUpstream(state, name,
-                              [&](UpstreamRow &row) { extendUnreachablePeriod(row.evidence, verdict.result, verdict.foundAt); });
+        forEachListedUpstream(state, name, [&](UpstreamRow &row) { extendUnreachablePeriod(row.evidence, verdict.foundAt); });
         return;
     }
     if (evidence.lastAnswerAt > verdict.foundAt || hasRecentProgress(state, name)) {
--- a/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
+++ b/modules/sapphirespan_cookie/tests/OpenFlowTest.cpp
@@ -136,3 +136,54 @@
         checkSafety(fleet->takeCounts());
     }
 }
+
+/** Guards against a data centre that an instance still holds for unreachable long after a cut. */
+BOOST_AUTO_TEST_CASE(aDataCentreIsUsedAgainAfterACut)
+{
+    int stuckSuspect = 0;
+    int stuckDark = 0;
+    int rowsDark = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto settings = withIdleFlows(seed);
+        settings.upstreamsPerDataCentre = 3;
+        settings.usersPerDataCentre = 300;
+        settings.kinds[0].deadline = 3s;
+        settings.think = 6s;
+        auto fleet = warmFleet(settings);
+        fleet->run(4s);
+        for (std::size_t index = 0; index < 3; ++index) {
+            fleet->drain(index); // a's clients have their flows in b and c
+        }
+        fleet->run(12s);
+        for (std::size_t index = 0; index < fleet->instances.size(); ++index) {
+            fleet->startInstance(index);
+            fleet->run(300ms);
+        }
+        fleet->isCut = [](const std::string &from, const std::string &to) { return from != to && (from == "c" || to == "c"); };
+        fleet->run(3s);
+        fleet->stopInstance(0); // its clients go to the other instance of a, and come back later
+        fleet->run(1500ms);
+        fleet->startInstance(0);
+        fleet->run(3s);
+        fleet->stopInstance(2);
+        fleet->run(1500ms);
+        fleet->startInstance(2);
+        fleet->run(2s);
+        fleet->isCut = [](const std::string &, const std::string &) { return false; };
+        fleet->run(10s);
+        fleet->run(10s);
+        for (std::size_t index = 0; index < 4; ++index) {
+            const auto &state = fleet->instances[index].decisions->state();
+            if (const auto found = state.dataCentreEvidence.find("c"); found != state.dataCentreEvidence.end()) {
+                stuckSuspect += found->second.state == Reachability::suspect ? 1 : 0;
+                stuckDark += found->second.state == Reachability::unreachable ? 1 : 0;
+            }
+            for (const auto &[cookie, row] : state.upstreams.rows()) {
+                rowsDark += row.entry.dataCentre == "c" && row.evidence.state == Reachability::unreachable ? 1 : 0;
+            }
+        }
+    }
+    BOOST_TEST(stuckSuspect == 0);
+    BOOST_TEST(stuckDark == 0);
+    BOOST_TEST(rowsDark == 0);
+}
