--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -241,8 +241,8 @@
     instance.decisions->outbox().clear();
     for (const auto &request : instance.decisions->takeProbeRequests()) {
         auto *upstream = upstreamAt(request.address);
-        const bool isSilent
-            = upstream == nullptr || upstream->isDark || instance.hasSlowLink || isCut(instance.dataCentre, upstream->entry.dataCentre);
+        const bool isSilent = upstream == nullptr || upstream->isDark || upstream->isProbeSilent || instance.hasSlowLink
+            || isCut(instance.dataCentre, upstream->entry.dataCentre);
         if (const auto second = std::chrono::duration_cast<std::chrono::seconds>(clock.elapsed()).count(); upstream != nullptr) {
             ++upstream->attempts[second];
             upstream->reached[second] += isSilent ? 0 : 1;
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -92,6 +92,7 @@
     UpstreamEntry entry;
     bool isListening = true; ///< else its host answers openings with a reset
     bool isDark = false; ///< answers nothing at all
+    bool isProbeSilent = false; ///< its queue of new connections is full, though it serves flows
     bool isProbeRefused = false; ///< nothing listens for connections, though it serves flows
     double slowness = 1;
     int running = 0;
