--- a/modules/sapphirespan_admission/limits/Admission.h
+++ b/modules/sapphirespan_admission/limits/Admission.h
@@ -9,6 +9,7 @@
     bool rejectsInOverload = true; ///< new flows are rejected while a service is overloaded
     bool sharesAmongRoutes = true; ///< routes with fewer admitted requests than others have a higher limit
     bool spillsToFasterDataCentres = true; ///< new flows prefer another data centre while the own one is slower
+    bool avoidsFailingUpstreams = true; ///< upstreams that fail more than others get no new flow while others can take it
 
     bool operator==(const AdmissionSettings &) const = default;
 };
--- a/modules/sapphirespan_admission/limits/ServiceLoad.cpp
+++ b/modules/sapphirespan_admission/limits/ServiceLoad.cpp
@@ -45,15 +45,21 @@
     route.windowSamples = 0;
 }
 
-/** Compares the size of a response with the average of its route, and updates that. */
-bool isFarTooShort(RouteLoad &route, std::uint32_t bytes)
+double millisecondsOf(Microseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+bool looksLikeFailure(const RouteLoad &route, const ResponseSample &sample)
+{
+    const bool isFast = route.floorMs == 0 || millisecondsOf(sample.time) < route.floorMs * maxFailureTimeShare;
+    return isFast && sample.bytes < route.averageBytes * maxFailureSizeShare;
+}
+
+void noteSize(RouteLoad &route, std::uint32_t bytes)
 {
     constexpr double newSampleWeight = 0.05; // in the moving average
-    if (bytes < route.averageBytes * minResponseSizeShare) {
-        return true;
-    }
     route.averageBytes = route.averageBytes > 0 ? route.averageBytes + (bytes - route.averageBytes) * newSampleWeight : bytes;
-    return false;
 }
 
 void noteDataCentreResponse(DataCentreLoad &dataCentre, double slowdown, SteadyTime now)
@@ -99,13 +105,14 @@
     return load.slots > 0 ? load.averageRequestsInProgress / load.slots : 0;
 }
 
-void noteResponse(ServiceLoad &load, RouteKey key, const ResponseSample &sample, SteadyTime now)
+bool noteResponse(ServiceLoad &load, RouteKey key, const ResponseSample &sample, SteadyTime now)
 {
     auto &route = load.routes[key];
-    if (isFarTooShort(route, sample.bytes)) {
-        return;
+    if (looksLikeFailure(route, sample)) {
+        return false;
     }
-    const double timeMs = std::chrono::duration<double, std::milli>(sample.time).count();
+    noteSize(route, sample.bytes);
+    const double timeMs = millisecondsOf(sample.time);
     if (route.floorMs > 0) {
         noteDataCentreResponse(load.dataCentres[sample.dataCentre], timeMs / route.floorMs, now);
         load.recentResponses.push_back({now, timeMs / route.floorMs, timeMs});
@@ -121,6 +128,7 @@
     if (route.windowSamples >= minWindowSamples && now - route.windowStartedAt >= responseWindow) {
         applyWindow(route, averageRequestsPerSlot(load), now);
     }
+    return true;
 }
 
 void noteRequest(ServiceLoad &load, RouteKey key, bool isAdmitted, SteadyTime now)
--- a/modules/sapphirespan_admission/limits/ServiceLoad.h
+++ b/modules/sapphirespan_admission/limits/ServiceLoad.h
@@ -56,8 +56,10 @@
     average over less would mix requests that met different queues. */
 inline constexpr Milliseconds minLoadTimeConstant {100};
 
-/** Share of the average size of a route's responses below which a response is ignored. */
-inline constexpr double minResponseSizeShare = 0.3;
+/** A response that is shorter than this share of the average size of its route's, and came within this share of the floor,
+    looks like a rejection or failure. */
+inline constexpr double maxFailureSizeShare = 0.3;
+inline constexpr double maxFailureTimeShare = 0.7;
 
 /** Number of responses that are kept of each service. */
 inline constexpr std::size_t maxRecentResponses = 256;
@@ -106,9 +108,9 @@
     std::string dataCentre {}; ///< of the upstream
 };
 
-/** Records a response. One that is far shorter than those of its route usually are is ignored: an upstream that rejects
-    requests answers fast, and would pass for one without load. */
-void noteResponse(ServiceLoad &load, RouteKey route, const ResponseSample &sample, SteadyTime now);
+/** Records a response. One that looks like a rejection or failure does not count: it comes fast, and its upstream would pass for
+    one without load. @returns whether it counts */
+bool noteResponse(ServiceLoad &load, RouteKey route, const ResponseSample &sample, SteadyTime now);
 
 /** Records a request that was offered. @param isAdmitted whether it was passed on, as are all requests on open flows */
 void noteRequest(ServiceLoad &load, RouteKey route, bool isAdmitted, SteadyTime now);
--- a/modules/sapphirespan_admission/sapphirespan_admission.h
+++ b/modules/sapphirespan_admission/sapphirespan_admission.h
@@ -1,6 +1,6 @@
 /** @file
-    Module sapphirespan_admission: decides which new flows are rejected while a service is overloaded, and which data centre the
-    others prefer.
+    Module sapphirespan_admission: decides which new flows are rejected while a service is overloaded, which data centre the
+    others prefer, and which upstreams fail more than others.
 
     An instance rejects a new flow whose request would only wait. The limit follows from response times that the instance
     has seen itself; no message between instances and no figure of a deployment is needed.
@@ -9,6 +9,7 @@
 */
 #pragma once
 
+#include "sapphirespan_admission/failures/FailedShare.h"
 #include "sapphirespan_admission/limits/Admission.h"
 #include "sapphirespan_admission/limits/ServiceLoad.h"
 #include "sapphirespan_admission/locality/DataCentrePreference.h"
--- a/modules/sapphirespan_config/tests/SettingsTest.cpp
+++ b/modules/sapphirespan_config/tests/SettingsTest.cpp
@@ -96,11 +96,12 @@
     FindingList findings;
     const auto defaults = parseCookieSettings("s.yaml", goodCookieSettings, findings);
     BOOST_REQUIRE(defaults);
-    BOOST_TEST((defaults->admission == AdmissionSettings {true, true, true}));
+    BOOST_TEST((defaults->admission == AdmissionSettings {true, true, true, true}));
     const std::vector<std::pair<std::string, AdmissionSettings>> switchedOff {
-        {"reject_in_overload", {false, true, true}},
-        {"share_among_routes", {true, false, true}},
-        {"spill_between_data_centres", {true, true, false}},
+        {"reject_in_overload", {false, true, true, true}},
+        {"share_among_routes", {true, false, true, true}},
+        {"spill_between_data_centres", {true, true, false, true}},
+        {"avoid_failing_upstreams", {true, true, true, false}},
     };
     for (const auto &[key, expected] : switchedOff) {
         const auto settings = parseCookieSettings("s.yaml", goodCookieSettings + "admission: {" + key + ": false}\n", findings);
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sapphirespan_admission/sapphirespan_admission.h"
 #include "sapphirespan_cookie/evidence/VerdictBook.h"
 
 namespace sapphirespan {
@@ -22,6 +23,7 @@
     std::uint32_t activeFlows = 0; ///< with recent packets through this instance
     std::uint32_t waitingRequests = 0; ///< whose response has not begun
     double averageFirstByteMs = 0; ///< moving average of the time to the first byte; 0 before the first sample
+    ResponseOutcomes outcomes;
 };
 
 /** Evidence for and against the reachability of one upstream.
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -28,12 +28,13 @@
 enum class ChoiceClass : std::uint8_t {
     preferred,
     inDoubt, ///< an opening is overdue
+    failing, ///< fails more requests than the others
     suspect, ///< suspect, or avoided because of a verdict or data centre check
     unreachable,
     unanswered, ///< the upstream that did not answer this flow's opening
 };
 
-ChoiceClass classOf(const UpstreamRow &row, const ChoiceContext &context)
+ChoiceClass classOf(const UpstreamRow &row, const ChoiceContext &context, double middleFailedShare)
 {
     if (row.cookie == context.unansweredUpstream) {
         return ChoiceClass::unanswered;
@@ -50,9 +51,27 @@
     if (isAvoided(row.evidence, context.now)) {
         return ChoiceClass::suspect;
     }
+    if (context.avoidsFailingUpstreams && failsMoreThanOthers(failedShare(row.load.outcomes, context.now), middleFailedShare)) {
+        return ChoiceClass::failing;
+    }
     return isOpeningOverdue(row.evidence, context.now) ? ChoiceClass::inDoubt : ChoiceClass::preferred;
 }
 
+/** @returns the median of the failed shares of a service's upstreams. */
+double middleFailedShare(const UpstreamDirectory &directory, const ChoiceContext &context)
+{
+    std::vector<double> shares;
+    for (const auto *row : directory.listedForService(context.service)) {
+        shares.push_back(failedShare(row->load.outcomes, context.now));
+    }
+    if (shares.empty()) {
+        return 0;
+    }
+    const auto middle = shares.begin() + static_cast<std::ptrdiff_t>(shares.size() / 2);
+    std::nth_element(shares.begin(), middle, shares.end());
+    return *middle;
+}
+
 bool isCandidate(const UpstreamRow &row)
 {
     return row.entry.phase == RegistrationPhase::ready && !row.hasCookieCollision;
@@ -119,6 +138,7 @@
 UpstreamRow *chooseUpstream(UpstreamDirectory &directory, const ChoiceContext &context)
 {
     const auto averages = averagesOf(directory, context);
+    const double middleShare = middleFailedShare(directory, context);
     UpstreamRow *best = nullptr;
     auto bestClass = ChoiceClass::preferred;
     double bestLoad = 0;
@@ -135,7 +155,7 @@
             load += remoteLoadOffset;
         }
         load += (load + 1.0 / row.entry.slots) * maxTieBreakShare * tieBreak(row.cookie, context.tieBreakSeed);
-        const auto choiceClass = classOf(row, context);
+        const auto choiceClass = classOf(row, context, middleShare);
         if (best == nullptr || choiceClass < bestClass || (choiceClass == bestClass && load < bestLoad)) {
             best = &row;
             bestClass = choiceClass;
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.h
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.h
@@ -11,6 +11,7 @@
     const std::string &dataCentre; ///< whose upstreams are preferred
     FlowCookie unansweredUpstream = 0; ///< upstream that did not answer this flow's opening; 0 for none
     std::uint64_t tieBreakSeed = 0; ///< random, so that instances with the same data do not all choose the same upstream
+    bool avoidsFailingUpstreams = true; ///< see AdmissionSettings
 };
 
 /** Flows per slot added to the load of upstreams in data centres other than the preferred one. */
@@ -28,8 +29,8 @@
 double loadPerSlot(const UpstreamRow &row, const ChoiceContext &context, double averageLoad);
 
 /** Chooses the upstream for a new flow: the least loaded one that is ready and reachable, in the preferred data centre unless an
-    upstream elsewhere has clearly less load. Suspect and unreachable upstreams are chosen only if no other is
-    ready; draining ones never.
+    upstream elsewhere has clearly less load. Upstreams that fail more than others, suspect and unreachable ones are chosen only if no
+    other is ready; draining ones never.
 
     @returns nullptr if no ready upstream of the service is known. Thread safety: pure function.
 */
--- a/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.cpp
@@ -81,9 +81,9 @@
     noteRequest(state.serviceLoads[service], keyOf(route), true, state.now);
 }
 
-void noteServiceResponse(CookieState &state, const std::string &service, const Ipv4Endpoint &route, const ResponseSample &sample)
+bool noteServiceResponse(CookieState &state, const std::string &service, const Ipv4Endpoint &route, const ResponseSample &sample)
 {
-    noteResponse(state.serviceLoads[service], keyOf(route), sample, state.now);
+    return noteResponse(state.serviceLoads[service], keyOf(route), sample, state.now);
 }
 
 void expireServiceLoads(CookieState &state)
--- a/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieAdmissionSystem.h
@@ -15,8 +15,9 @@
 /** Records a request on a flow that has carried one before. @param route service address of the flow */
 void noteRequestOnOpenFlow(CookieState &state, const std::string &service, const Ipv4Endpoint &route);
 
-/** Records a response of an upstream of the service. @param route service address of the flow */
-void noteServiceResponse(CookieState &state, const std::string &service, const Ipv4Endpoint &route, const ResponseSample &sample);
+/** Records a response of an upstream of the service. @param route service address of the flow
+    @returns whether it looked like an answer rather than a rejection or failure */
+bool noteServiceResponse(CookieState &state, const std::string &service, const Ipv4Endpoint &route, const ResponseSample &sample);
 
 /** Forgets services and routes that have had no request for a while. */
 void expireServiceLoads(CookieState &state);
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -89,7 +89,7 @@
                FlowCookie avoided)
 {
     const auto dataCentre = preferredDataCentre(state, service);
-    const ChoiceContext context {state.now, service, dataCentre, avoided, state.random()};
+    const ChoiceContext context {state.now, service, dataCentre, avoided, state.random(), state.settings.admission.avoidsFailingUpstreams};
     auto *row = chooseUpstream(state.upstreams, context);
     if (row == nullptr) {
         rejectOpening(state, state.counters.resetNoUpstream, packet, "no ready upstream");
@@ -196,11 +196,12 @@
         noteRequestOnOpenFlow(state, row.entry.service, route);
     }
     if (update.responseTime) {
-        noteServiceResponse(state, row.entry.service, route, {*update.responseTime, update.responseBytes, row.entry.dataCentre});
+        const ResponseSample sample {*update.responseTime, update.responseBytes, row.entry.dataCentre};
+        noteOutcome(load.outcomes, !noteServiceResponse(state, row.entry.service, route, sample), state.now);
         constexpr double newSampleWeight = 0.1; // in the exponential moving average
-        const double sample = static_cast<double>(update.responseTime->count()) / 1000;
+        const double timeMs = static_cast<double>(update.responseTime->count()) / 1000;
         load.averageFirstByteMs
-            = load.averageFirstByteMs > 0 ? load.averageFirstByteMs * (1 - newSampleWeight) + sample * newSampleWeight : sample;
+            = load.averageFirstByteMs > 0 ? load.averageFirstByteMs * (1 - newSampleWeight) + timeMs * newSampleWeight : timeMs;
         load.waitingRequests -= load.waitingRequests > 0 ? 1 : 0;
     }
 }
