--- a/modules/sapphirespan_cookie/tests/SilentProbeTest.cpp
+++ b/modules/sapphirespan_cookie/tests/SilentProbeTest.cpp
@@ -8,19 +8,6 @@
 using namespace sapphirespan::model;
 using namespace std::chrono_literals;
 
-namespace {
-
-/** Few clients with long pauses: at each instance an upstream makes progress only from time to time. */
-ModelSettings withIdleFlows(std::uint64_t seed)
-{
-    auto settings = withSeed(seed);
-    settings.usersPerDataCentre = 40;
-    settings.think = 4s;
-    return settings;
-}
-
-} // namespace
-
 /** Guards against resets of open flows because an upstream's queue of new connections is full, so that it leaves probes unanswered. */
 BOOST_AUTO_TEST_CASE(anUpstreamWithAFullConnectionQueueKeepsItsFlows)
 {
--- a/modules/sapphirespan_cookie/tests/model/FleetChecks.h
+++ b/modules/sapphirespan_cookie/tests/model/FleetChecks.h
@@ -66,4 +66,13 @@
     return settings;
 }
 
+/** Few clients with long pauses: at each instance an upstream makes progress only from time to time. */
+inline ModelSettings withIdleFlows(std::uint64_t seed)
+{
+    auto settings = withSeed(seed);
+    settings.usersPerDataCentre = 40;
+    settings.think = 4s;
+    return settings;
+}
+
 } // namespace sapphirespan::model
