--- a/review/common/platform.py
+++ b/review/common/stage.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import json
 import os
 import random
@@ -141,6 +142,7 @@
         self.stage, self.ident, self.address, self.service, self.zone = stage, ident, address, service, zone
         self.name, self.flows, self.alive, self.state, self.drained_at = f"i-{ident:x}", {}, False, "ready", None
         self.born = int(time.time() * 1000)
+        self.busy, self.waiting_requests = 0, collections.deque()
 
     async def start(self):
         self.socket = await udp(self.address, self.received)
@@ -194,24 +196,65 @@
             self.flows.pop(key)
         elif got.data and got.seq == flow["next"] & 0xFFFFFFFF:
             flow["next"] += len(got.data)
-            flow["answer"] = f"{self.name} {self.service} ".encode() + got.data
-            self.stage.request_run(self, got.data.decode())
-            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
-        elif got.data and flow["answer"]:
-            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+            self.waiting_requests.append((key, flow, got))
+            self.begin_work()
+        elif got.data:
+            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"] or b"")
         elif flow["answer"] and got.ack == (flow["sent"] + len(flow["answer"])) & 0xFFFFFFFF:
             flow["sent"] += len(flow["answer"])
             flow["answer"] = None
 
+    def begin_work(self):
+        """Takes the next requests while slots are free."""
+        while self.waiting_requests and self.busy < self.stage.slots:
+            key, flow, got = self.waiting_requests.popleft()
+            self.busy += 1
+            self.stage.request_run(self, got.data.decode())
+            asyncio.get_running_loop().call_later(self.stage.work(), self.answer, key, flow, got)
+
+    def answer(self, key, flow, got):
+        self.busy -= 1
+        self.begin_work()
+        if self.alive and self.flows.get(key) is flow:
+            flow["answer"] = f"{self.name} {self.service} ".encode() + got.data
+            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+
     def send(self, key, flags, seq, ack, echo, data=b""):
         source, target = key
         self.socket.sendto(packet(flags, seq, ack, target, source, echo, data), (source[0], self.stage.ports["datagram"]))
 
+    def fill_queue(self):
+        """Other callers' connections fill the queue of new ones: the next opening packets of TCP are dropped."""
+        self.listener.close()
+        queue = socket.socket()
+        queue.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        queue.bind(self.address)
+        queue.listen(0)
+        self.waiting = [queue]
+        for _ in range(3):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(self.address)
+            self.waiting.append(caller)
+
+    async def empty_queue(self):
+        for waiting in self.waiting:
+            waiting.close()
+        self.waiting = []
+        self.listener = await asyncio.start_server(self.health, *self.address)
+
     def crash(self):
-        """Falls silent, as a machine without power; its flows are lost. On loopback a closed port refuses connections, so the
-        sockets stay open and unread; connections are left waiting by a full queue (see Stage.mute)."""
+        """Falls silent, as a machine without power; its flows are lost. On loopback a closed port would refuse connections, so the
+        port stays open with a full queue."""
         self.alive = False
         self.flows.clear()
+        self.fill_queue()
+
+    def end(self):
+        """Frees the address of a server that has crashed."""
+        self.socket.close()
+        for waiting in self.waiting:
+            waiting.close()
 
 
 class Client:
@@ -264,7 +307,7 @@
         self.port += 1
         seq = random.getrandbits(31)
         flow = {"port": self.port, "route": route, "via": via, "echo": 0, "seq": seq + 1, "peer": 0, "open": False, "reset": None,
-                "answer": None, "event": asyncio.Event(), "client": self.ip}
+                "answer": None, "event": asyncio.Event(), "client": self.ip, "opened_at": self.stage.record.now(), "used_at": self.stage.record.now()}
         self.flows[self.port] = flow
         await self.step(flow, SYN, seq, b"", (0.2, 0.4, 0.8))
         if flow["open"]:
@@ -287,6 +330,8 @@
 class Stage:
     """One deployment. `zones` maps each zone to its number of instances."""
 
+    slots = 1000  # requests that a server works on at once
+
     def __init__(self, folder, zones, bounds):
         self.folder, self.bounds, self.record = folder, bounds, Record(folder)
         self.store, self.servers, self.instances = Store(self.record), [], []
@@ -318,6 +363,10 @@
             except OSError:
                 continue
 
+    def work(self):
+        """@returns for how many seconds a server works on a request"""
+        return 0
+
     def opening_taken(self, server, key):
         pass
 
@@ -327,6 +376,11 @@
     def request_run(self, server, ident):
         self.record(f"server {server.name} of {server.service} runs {ident}")
 
+    def holder(self, client, flow):
+        """@returns the living server that holds a flow as open, or None"""
+        key = ((client.ip, flow["port"]), flow["route"])
+        return next((server for server in self.servers if server.alive and key in server.flows and server.flows[key]["open"]), None)
+
     def reset_received(self, client, flow):
         self.record(f"client {client.ip}:{flow['port']} gets a reset of the {flow['reset']}, open {flow['open']}")
 
@@ -365,11 +419,11 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
-    async def add_server(self, service, zone):
+    async def add_server(self, service, zone, address=None):
         ident = self.next_ident
         self.next_ident += 1
         index = len(self.servers)
-        address = (f"127.{self.network}.{200 + index // 200}.{1 + index % 200}", self.ports["server"])
+        address = address or (f"127.{self.network}.{200 + index // 200}.{1 + index % 200}", self.ports["server"])
         server = Server(self, ident, address, service, zone)
         self.servers.append(server)
         await server.start()
