--- a/review/2/run.py
+++ b/review/2/run.py
@@ -6,7 +6,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
-from platform import Client, Stage, main  # noqa: E402
+from stage import Client, Stage, main  # noqa: E402
 
 ZONES = {"mid-a": 9, "mid-b": 9, "mid-c": 9}
 TURNED_AWAY = "mid-a"
