Let a sample of a data centre decide on new flows only, and probe an upstream by itself before its flows end

Cause: a data centre found unreachable by three silent upstreams, twice, or by the verdicts of three peers in a fleet above 12, marked every upstream there without progress in the last 150 ms as silent too and reset its open flows. Idle flows make no progress for seconds.

Ruled out: an unanswered probe of the living upstream itself, a peer's verdict on it (no such event in any log).

Change: the reachability of a data centre steers new flows only. With the first silent sample, each upstream there with open flows at the instance is probed by itself, twice, beside the second sample; a packet of a flow not yet known there causes the same. Flows end by their own upstream's silence. It works because nothing but a probe of an upstream, or a quorum of peers' probes of it, now gives the right to reset its flows.

--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -50,6 +50,7 @@
     evidence.unansweredOpeningSince.reset();
     evidence.isUnreachableWithoutProbe = false;
     evidence.isReportedUnreachable = false;
+    evidence.isAvoidedWithDataCentre = false;
     evidence.avoidedUntil = {};
     evidence.peerVerdictCheckAt.reset();
 }
@@ -131,7 +132,7 @@
         evidence.lastSilenceAt = now;
     }
     if (evidence.isUnreachableWithoutProbe) {
-        extendUnreachablePeriod(evidence, now); // the peers, or the sample of its data centre, go on deciding when it is back
+        extendUnreachablePeriod(evidence, now); // the peers go on deciding when it is back
         return false;
     }
     setState(evidence, Reachability::unreachable, now);
@@ -155,6 +156,7 @@
         return false;
     }
     evidence.isReportedUnreachable = true;
+    evidence.isAvoidedWithDataCentre = false;
     evidence.avoidedSince = std::max(evidence.avoidedSince, foundAt);
     evidence.avoidedUntil = std::max(evidence.avoidedUntil, foundAt + verdictLifetime);
     return true;
@@ -203,6 +205,7 @@
         evidence.unreachableUntil = std::min(evidence.unreachableUntil, now);
     }
     if (foundAt > evidence.avoidedSince) {
+        evidence.isAvoidedWithDataCentre = false;
         evidence.avoidedUntil = {};
         evidence.peerVerdictCheckAt.reset();
     }
@@ -215,11 +218,42 @@
     evidence.avoidedUntil = std::max(evidence.avoidedUntil, now + dataCentreCheckAvoidance);
 }
 
+void avoidWithDataCentre(UpstreamEvidence &evidence, SteadyTime foundAt)
+{
+    if (evidence.lastProgressAt > foundAt - recentProgressWindow) {
+        return;
+    }
+    evidence.isAvoidedWithDataCentre = true;
+    evidence.avoidedSince = std::max(evidence.avoidedSince, foundAt);
+    evidence.avoidedUntil = std::max(evidence.avoidedUntil, foundAt + verdictLifetime);
+}
+
+void endAvoidanceWithDataCentre(UpstreamEvidence &evidence)
+{
+    if (evidence.isAvoidedWithDataCentre) {
+        evidence.isAvoidedWithDataCentre = false;
+        evidence.avoidedUntil = {};
+    }
+}
+
+void bringForwardRetry(UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (evidence.state == Reachability::unreachable && !evidence.isUnreachableWithoutProbe) {
+        evidence.unreachableUntil = std::min(evidence.unreachableUntil, now);
+    }
+}
+
 bool isAvoided(const UpstreamEvidence &evidence, SteadyTime now)
 {
     return now < evidence.avoidedUntil && evidence.lastProgressAt <= evidence.avoidedSince;
 }
 
+bool isCheckDueWithDataCentre(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    return evidence.isAvoidedWithDataCentre && isAvoided(evidence, now) && evidence.state == Reachability::reachable
+        && evidence.pendingProbes == 0 && now - evidence.lastProbeAt >= minVerificationInterval;
+}
+
 bool mayResetFlows(const UpstreamEvidence &evidence, Microseconds usualResponseTime, SteadyTime now)
 {
     if (evidence.state != Reachability::unreachable) {
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -43,10 +43,11 @@
     std::uint8_t consecutiveFailedProbes = 0; ///< while suspect or unreachable
     std::uint8_t answeredProbesWithoutProgress = 0; ///< consecutive; the host accepts connections, but serves no flow
     std::uint8_t pendingProbes = 0; ///< probes in flight
-    bool isUnreachableWithoutProbe = false; ///< by verdicts of peers or with its data centre; this instance does not probe it
+    bool isUnreachableWithoutProbe = false; ///< by verdicts of peers on this upstream; this instance does not probe it
+    bool isAvoidedWithDataCentre = false; ///< avoided because its data centre is unreachable as a whole; says nothing about its flows
     bool isReportedUnreachable = false; ///< by a peer; one silent probe then suffices
-    SteadyTime lastFailureAt {}; ///< latest failed probe known, by this instance or a peer, of it or of its data centre
-    std::optional<SteadyTime> lastSilenceAt; ///< latest probe left unanswered, by this instance, a quorum, or a sample of its data centre
+    SteadyTime lastFailureAt {}; ///< latest failed probe of it known, by this instance or a peer
+    std::optional<SteadyTime> lastSilenceAt; ///< latest probe of it left unanswered, by this instance or a quorum
     std::optional<SteadyTime> stalledSince; ///< first retransmission of data since the last progress
     bool hasServedDespiteRefusal = false; ///< flows made progress after a refused probe, so a refusal says nothing about them
     bool areFlowsReset = false; ///< since it became unreachable
@@ -148,9 +149,23 @@
 /** Avoids the upstream for dataCentreCheckAvoidance while its data centre is checked. */
 void avoidDuringDataCentreCheck(UpstreamEvidence &evidence, SteadyTime now);
 
+/** Avoids the upstream for verdictLifetime because probes of others in its data centre failed, unless it has made progress since.
+    Its flows stay: only a failed probe of the upstream itself speaks against them. @param foundAt time of the failure */
+void avoidWithDataCentre(UpstreamEvidence &evidence, SteadyTime foundAt);
+
+/** Ends the avoidance that avoidWithDataCentre() set, if any. */
+void endAvoidanceWithDataCentre(UpstreamEvidence &evidence);
+
+/** Makes the next probe of an upstream that was found unreachable by a probe of its own due at once. */
+void bringForwardRetry(UpstreamEvidence &evidence, SteadyTime now);
+
 /** @returns whether a verdict or data centre check speaks against the upstream and no progress was seen since. */
 bool isAvoided(const UpstreamEvidence &evidence, SteadyTime now);
 
+/** @returns whether a packet of an open flow should cause a check of the upstream: its data centre is unreachable, and the upstream
+    itself was neither probed recently nor made progress. */
+bool isCheckDueWithDataCentre(const UpstreamEvidence &evidence, SteadyTime now);
+
 /** @returns whether the open flows of an unreachable upstream may be reset: it left a recent probe unanswered, or refused one while
     its flows stall as well. A refusal alone says only that nothing listens for connections. The upstream may serve all the same,
     and the host of one that has ended resets the flows itself.
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -5,6 +5,7 @@
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace sapphirespan {
 
@@ -53,22 +54,41 @@
 
 void markDataCentreReachable(CookieState &state, const std::string &name, DataCentreEvidence &evidence, std::string_view reason);
 
-/** Probes a random sample of a data centre's upstreams, and queues a self-check probe. If each of them is unreachable by probes of
-    its own, which are repeated, there is nothing to sample, and the data centre as a whole is no longer evaluated. */
-void startSampleProbes(CookieState &state, const std::string &name, DataCentreEvidence &evidence)
+/** @returns whether an upstream was found unreachable by a probe of its own, and not only by verdicts of peers. */
+bool isFoundUnreachable(const UpstreamRow *row)
 {
-    std::vector<UpstreamRow *> candidates;
-    forEachListedUpstream(state, name, [&candidates](UpstreamRow &row) {
-        if (row.evidence.state != Reachability::unreachable || row.evidence.isUnreachableWithoutProbe) {
-            candidates.push_back(&row);
-        }
+    return row->evidence.state == Reachability::unreachable && !row->evidence.isUnreachableWithoutProbe;
+}
+
+/** @returns the upstreams of a data centre to probe as a sample: those that were not found unreachable by a probe of their own come
+    first, and of these the one with the latest sign of life; the others in random order. */
+std::vector<UpstreamRow *> chooseSample(CookieState &state, const std::string &name)
+{
+    std::vector<UpstreamRow *> sample;
+    forEachListedUpstream(state, name, [&sample](UpstreamRow &row) { sample.push_back(&row); });
+    std::shuffle(sample.begin(), sample.end(), state.random);
+    const auto firstFound = std::stable_partition(sample.begin(), sample.end(), std::not_fn(isFoundUnreachable));
+    const auto latest = std::max_element(sample.begin(), firstFound, [](const UpstreamRow *a, const UpstreamRow *b) {
+        return a->evidence.lastProgressAt < b->evidence.lastProgressAt;
     });
-    if (candidates.empty()) {
+    if (latest != firstFound) {
+        std::iter_swap(sample.begin(), latest);
+    }
+    sample.resize(std::min(sample.size(), dataCentreSampleSize));
+    return sample;
+}
+
+/** Probes a sample of a data centre's upstreams, and queues a self-check probe. If each upstream of a suspect data centre was found
+    unreachable by a probe of its own, which is repeated, there is nothing to sample, and the data centre is no longer evaluated. */
+void startSampleProbes(CookieState &state, const std::string &name, DataCentreEvidence &evidence)
+{
+    const auto candidates = chooseSample(state, name);
+    const bool hasNothingToSample
+        = candidates.empty() || (evidence.state == Reachability::suspect && isFoundUnreachable(candidates.front()));
+    if (hasNothingToSample) {
         markDataCentreReachable(state, name, evidence, "each of its upstreams is probed by itself");
         return;
     }
-    std::shuffle(candidates.begin(), candidates.end(), state.random);
-    candidates.resize(std::min(candidates.size(), dataCentreSampleSize));
     evidence.pendingSampleProbes = static_cast<std::uint8_t>(candidates.size());
     evidence.isSampleInconclusive = false;
     for (auto *row : candidates) {
@@ -99,7 +119,8 @@
     startSampleProbes(state, name, evidence);
 }
 
-/** Marks a data centre as unreachable, and its upstreams without recent progress with it; resets the flows to them.
+/** Marks a data centre as unreachable and steers new flows away from its upstreams without recent progress. Open flows there stay
+    until a probe of their own upstream has failed: a sample says nothing about the upstreams that are not in it.
     @pre evidence.lastFailureAt is the time of the sample that says so */
 void markDataCentreUnreachable(CookieState &state, const std::string &name, DataCentreEvidence &evidence, std::string_view reason)
 {
@@ -107,15 +128,26 @@
         setDataCentreReachability(evidence, Reachability::unreachable, state.now);
         announce(state, CookieEventKind::dataCentreUnreachable, 0, name + ": " + std::string(reason));
     }
-    forEachListedUpstream(state, name, [&state, foundAt = evidence.lastFailureAt](UpstreamRow &row) {
-        if (state.now - row.evidence.lastProgressAt >= suspectAfterNoProgress) {
-            extendUnreachablePeriod(row.evidence, foundAt);
-            row.evidence.lastSilenceAt = foundAt;
-            markUnreachableWithoutProbe(row.evidence, ProbeResult::silent, foundAt, state.now);
-            state.upstreamsToEvaluate.insert(row.cookie);
+    forEachListedUpstream(state, name,
+                          [foundAt = evidence.lastFailureAt](UpstreamRow &row) { avoidWithDataCentre(row.evidence, foundAt); });
+}
+
+/** Schedules a probe of each upstream of a data centre that has open flows here and made no progress lately. Idle flows count too:
+    their clients may send on them later, and may not repeat what they sent. In a large fleet the probes are spread over
+    `maxCheckDelay`, so that the verdicts of the first few instances spare the others theirs. */
+void checkUpstreamsWithOpenFlows(CookieState &state, const std::string &name)
+{
+    for (const auto &[ends, flow] : state.flows) {
+        if (flow.phase != FlowPhase::open) {
+            continue;
         }
-    });
-    resetFlowsToUnreachableUpstreams(state);
+        auto *row = state.upstreams.find(flow.cookie);
+        if (row != nullptr && row->entry.dataCentre == name && !isDepartedOrUnreachable(*row)
+            && state.now - row->evidence.lastProgressAt >= suspectAfterNoProgress && !row->evidence.peerVerdictCheckAt) {
+            scheduleCheck(row->evidence, state.now, state.peers.isFullMesh() ? 0 : uniformRandom(state));
+            state.upstreamsToEvaluate.insert(row->cookie);
+        }
+    }
 }
 
 /** Schedules the next sample: exponential backoff from `initialRetryBackoff` to `maxRetryBackoff`, times a random factor from
@@ -130,8 +162,8 @@
     evidence.retryBackoffExponent = static_cast<std::uint8_t>(std::min(evidence.retryBackoffExponent + 1, 8));
 }
 
-/** Marks a data centre as reachable. If it was unreachable, its upstreams that were marked unreachable without a probe take
-    flows again, and each is evaluated separately from then on. */
+/** Marks a data centre as reachable. Its upstreams take flows again, but for those that were found unreachable by probes of their
+    own; if the data centre was unreachable, these are probed again at once. Each is evaluated separately from then on. */
 void markDataCentreReachable(CookieState &state, const std::string &name, DataCentreEvidence &evidence, std::string_view reason)
 {
     const bool wasUnreachable = evidence.state == Reachability::unreachable;
@@ -141,20 +173,16 @@
     evidence.retryBackoffExponent = 0;
     evidence.consecutiveSilentSamples = 0;
     evidence.peerVerdictCheckAt.reset();
-    if (!wasUnreachable) {
-        return;
+    forEachListedUpstream(state, name, [](UpstreamRow &row) { endAvoidanceWithDataCentre(row.evidence); });
+    if (wasUnreachable) {
+        announce(state, CookieEventKind::dataCentreRecovered, 0, name + ": " + std::string(reason));
+        forEachListedUpstream(state, name, [&state](UpstreamRow &row) { bringForwardRetry(row.evidence, state.now); });
     }
-    announce(state, CookieEventKind::dataCentreRecovered, 0, name + ": " + std::string(reason));
-    forEachListedUpstream(state, name, [&state](UpstreamRow &row) {
-        if (row.evidence.isUnreachableWithoutProbe) {
-            noteReachableVerdict(row.evidence, state.now, true, state.now);
-        }
-    });
 }
 
 /** Handles a sample none of whose probes was answered. One such sample makes a suspect data centre unreachable if a peer
-    reported it so, otherwise two in a row do. An inconclusive sample makes a suspect one reachable again.
-    An unreachable one stays so and is probed again later in either case. */
+    reported it so, otherwise two in a row do; the first one also has the upstreams with open flows probed one by one. An
+    inconclusive sample makes a suspect one reachable again. An unreachable one stays so and is probed again later in either case. */
 void handleSilentSample(CookieState &state, const std::string &name, DataCentreEvidence &evidence)
 {
     if (evidence.isSampleInconclusive) {
@@ -166,6 +194,9 @@
         return;
     }
     ++evidence.consecutiveSilentSamples;
+    if (evidence.state == Reachability::suspect && evidence.consecutiveSilentSamples == 1) {
+        checkUpstreamsWithOpenFlows(state, name);
+    }
     const int requiredSilentSamples = evidence.isReportedUnreachable ? 1 : 2;
     if (evidence.state == Reachability::suspect && evidence.consecutiveSilentSamples < requiredSilentSamples) {
         startSampleProbes(state, name, evidence);
@@ -227,6 +258,20 @@
     }
 }
 
+void noteAnswerFromDataCentre(CookieState &state, const UpstreamRow &row)
+{
+    const auto found = state.dataCentreEvidence.find(row.entry.dataCentre);
+    if (found == state.dataCentreEvidence.end() || found->second.state == Reachability::reachable) {
+        return;
+    }
+    const bool wasUnreachable = found->second.state == Reachability::unreachable;
+    found->second.lastAnswerAt = state.now;
+    markDataCentreReachable(state, found->first, found->second, "a connection attempt was answered");
+    if (wasUnreachable) {
+        recordOwnVerdict(state, {0, found->first}, ProbeResult::connected);
+    }
+}
+
 void handleSampleProbeResult(CookieState &state, UpstreamRow &row, ProbeResult result, bool isConclusive)
 {
     const auto found = state.dataCentreEvidence.find(row.entry.dataCentre);
@@ -237,13 +282,7 @@
     --evidence.pendingSampleProbes;
     if (result != ProbeResult::silent) {
         evidence.lastAnswerAt = state.now;
-        const bool wasUnreachable = evidence.state == Reachability::unreachable;
-        if (evidence.state != Reachability::reachable) {
-            markDataCentreReachable(state, found->first, evidence, "a connection attempt was answered");
-        }
-        if (wasUnreachable) {
-            recordOwnVerdict(state, {0, found->first}, ProbeResult::connected);
-        }
+        noteAnswerFromDataCentre(state, row);
         return;
     }
     evidence.isSampleInconclusive = evidence.isSampleInconclusive || !isConclusive;
@@ -270,7 +309,7 @@
         } else if (verdict.foundAt - evidence.lastFailureAt > initialRetryBackoff / 2) {
             scheduleDataCentreRetry(state, evidence, verdict.foundAt);
         }
-        forEachListedUpstream(state, name, [&](UpstreamRow &row) { extendUnreachablePeriod(row.evidence, verdict.foundAt); });
+        forEachListedUpstream(state, name, [&](UpstreamRow &row) { avoidWithDataCentre(row.evidence, verdict.foundAt); });
         return;
     }
     if (evidence.lastAnswerAt > verdict.foundAt || hasRecentProgress(state, name)) {
@@ -279,8 +318,8 @@
     evidence.isReportedUnreachable = true;
     bool hasFlows = false;
     forEachListedUpstream(state, name, [&](UpstreamRow &row) {
-        const bool isAccepted = noteUnreachableVerdict(row.evidence, verdict, state.now, uniformRandom(state));
-        hasFlows = hasFlows || (isAccepted && row.load.activeFlows > 0);
+        avoidWithDataCentre(row.evidence, verdict.foundAt);
+        hasFlows = hasFlows || row.load.activeFlows > 0;
     });
     const bool isQuorum
         = state.verdicts.countUnreachableVerdicts(verdict.subject, {state.settings.dataCentre}, state.now) >= unreachableQuorum;
@@ -291,16 +330,22 @@
         evidence.lastFailureAt = verdict.foundAt;
         evidence.unreachableUntil = verdict.foundAt + verdictLifetime;
         markDataCentreUnreachable(state, name, evidence, "several peers found it so");
+        checkUpstreamsWithOpenFlows(state, name);
     } else if (hasFlows && evidence.state == Reachability::reachable && !evidence.peerVerdictCheckAt) {
         evidence.peerVerdictCheckAt = state.now
             + Microseconds(static_cast<std::int64_t>(static_cast<double>(Microseconds(maxCheckDelay).count()) * uniformRandom(state)));
     }
 }
 
-bool isDataCentreSuspectOrUnreachable(const CookieState &state, const std::string &dataCentre)
+bool isProbeLeftToDataCentreCheck(const CookieState &state, const UpstreamRow &row)
 {
-    const auto found = state.dataCentreEvidence.find(dataCentre);
-    return found != state.dataCentreEvidence.end() && found->second.state != Reachability::reachable;
+    const auto found = state.dataCentreEvidence.find(row.entry.dataCentre);
+    if (found == state.dataCentreEvidence.end()) {
+        return false;
+    }
+    const auto &evidence = found->second;
+    const bool isFirstSamplePending = evidence.state == Reachability::suspect && evidence.consecutiveSilentSamples == 0;
+    return isFirstSamplePending || (evidence.state == Reachability::unreachable && row.evidence.state == Reachability::unreachable);
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -36,6 +36,8 @@
     }
     if (result == ProbeResult::silent) {
         markDataCentreSuspectIfStalled(state, row);
+    } else {
+        noteAnswerFromDataCentre(state, row);
     }
     const auto previousState = evidence.state;
     const bool wasAvoided = isAvoided(evidence, state.now);
@@ -82,8 +84,7 @@
             row.evidence.areFlowsReset = true;
             isResetDue = true;
         }
-        const bool isProbeAllowed
-            = row.entry.phase != RegistrationPhase::departed && !isDataCentreSuspectOrUnreachable(state, row.entry.dataCentre);
+        const bool isProbeAllowed = row.entry.phase != RegistrationPhase::departed && !isProbeLeftToDataCentreCheck(state, row);
         if (isProbeAllowed && isProbeDue(row.evidence, state.now) && !isRetryLeftToPeers(state, row)) {
             ++row.evidence.pendingProbes;
             requestProbe(state, row, ProbePurpose::upstream);
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -207,10 +207,17 @@
     }
 }
 
-/** Probes an upstream to which a packet goes although it was unreachable when last probed. */
+/** Probes an upstream to which a packet goes although it was unreachable when last probed, or although its data centre is
+    unreachable and this upstream was not probed by itself. */
 void verifyUnreachable(CookieState &state, UpstreamRow &row)
 {
-    if (row.entry.phase != RegistrationPhase::departed && isVerificationDue(row.evidence, state.now)) {
+    if (row.entry.phase == RegistrationPhase::departed) {
+        return;
+    }
+    if (isCheckDueWithDataCentre(row.evidence, state.now)) {
+        scheduleCheck(row.evidence, state.now, 0);
+        state.upstreamsToEvaluate.insert(row.cookie);
+    } else if (isVerificationDue(row.evidence, state.now)) {
         ++row.evidence.pendingProbes;
         requestProbe(state, row, ProbePurpose::upstream);
         requestSelfCheckProbe(state);
