Let data centres take turns in the order of instances that watch the store

Cause: instances were ranked by an FNV-1a hash of their name, which keeps names with a common beginning together. The watchers, and the four that ask when data is old, were all of the data centre that was turned away; its nine instances tried in pairs, 1.4 s each.

Change: data centres take turns in the order of ranks, whatever the names and sizes. While data is older than 1.2 s one more instance watches for each other data centre known to be without the store, and the four that ask at 2.2 s pass over peers elsewhere without it. Reports say how their sender ranks, in a field that the last release ignores; beside instances of the last release the first two by name watch as well. It works because the two watchers never share a data centre, so that one goes on without a gap.

--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -228,7 +228,7 @@
     packVector(packer, report.verdicts);
     packVector(packer, report.upstreamChanges);
     packVector(packer, report.knownPeers);
-    packer.pack(false); // whether upstream loads are included
+    packer.pack(report.ranksAcrossDataCentres); // false in the last release, which does not read it
     pack(packer, report.storeRevisions);
     return {buffer.data(), buffer.data() + buffer.size()};
 }
@@ -264,6 +264,7 @@
         report.verdicts = vectorFrom(list[10], verdictFrom);
         report.upstreamChanges = vectorFrom(list[11], upstreamEntryFrom);
         report.knownPeers = vectorFrom(list[12], knownPeerFrom);
+        report.ranksAcrossDataCentres = boolFrom(list[13]);
         report.storeRevisions = revisionsFrom(list[14]);
         return report;
     });
--- a/modules/sapphirespan_cookie/peers/PeerReport.h
+++ b/modules/sapphirespan_cookie/peers/PeerReport.h
@@ -75,6 +75,7 @@
     PeerPhase phase = PeerPhase::starting;
     bool reachesStore = false;
     bool isWatchingStore = false;
+    bool ranksAcrossDataCentres = false; ///< whether the sender's ranks let data centres take turns, as PeerTable says
     StoreDataVersion storeDataVersion;
     StoreRevisions storeRevisions;
     std::uint32_t storeDataAgeMs = 0; ///< time since the store last confirmed storeDataVersion
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -1,13 +1,21 @@
 #include "sapphirespan_cookie/peers/PeerTable.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sapphirespan {
 
 namespace {
 
+/** @returns whether a peer can watch the store. */
+bool isWatchCandidate(const PeerRow &row, SteadyTime now)
+{
+    return isAlive(row, now) && row.reachesStore && row.phase == PeerPhase::serving;
+}
+
 /** Number of peers, the first by rank, that every list of known peers includes. Each instance receives reports from only a few
-    others, and this way all agree on which instances watch the store. */
+    others, and this way all agree on which instances watch the store. The first of the sender's own data centre is included too,
+    so that a data centre agrees on it where there are more data centres than this. */
 constexpr std::ptrdiff_t topRankedPeersPerReport = 4;
 
 } // namespace
@@ -45,6 +53,7 @@
     row.phase = report.phase;
     row.reachesStore = report.reachesStore;
     row.isWatchingStore = report.isWatchingStore;
+    row.ranksByNameOnly = !report.ranksAcrossDataCentres;
     row.lastSequenceNumber = report.sequenceNumber;
     row.storeDataVersion = report.storeDataVersion;
     row.storeDataConfirmedAt = now - Milliseconds(report.storeDataAgeMs);
@@ -69,6 +78,7 @@
     if (knownPeer.descriptor.incarnation > row.descriptor.incarnation) {
         row.descriptor = knownPeer.descriptor;
         row.lastSequenceNumber = 0;
+        row.ranksByNameOnly = false;
     }
     if (const auto aliveAt = now - Milliseconds(knownPeer.sinceLastAliveMs); aliveAt > row.lastAliveAt) {
         row.phaseSince = knownPeer.phase != row.phase ? aliveAt : row.phaseSince;
@@ -83,18 +93,76 @@
     std::erase_if(m_rows, [now](const auto &item) { return now - item.second.lastAliveAt > peerRetentionPeriod; });
 }
 
-bool PeerTable::shouldWatchStore(bool selfReachesStore, SteadyTime now) const
+std::vector<PeerTable::RankedInstance> PeerTable::rankedInstances(SteadyTime now) const
+{
+    std::vector<RankedInstance> instances {{nullptr, false, 0, rankKey(m_self.dataCentre), rankKey(m_self.name)}};
+    for (const auto &[name, row] : m_rows) {
+        if (isAlive(row, now)) {
+            instances.push_back({&row, row.ranksByNameOnly, 0, rankKey(row.descriptor.dataCentre), rankKey(name)});
+        }
+    }
+    std::sort(instances.begin(), instances.end(), [](const RankedInstance &a, const RankedInstance &b) {
+        return std::tie(a.ranksByNameOnly, a.dataCentreKey, a.key) < std::tie(b.ranksByNameOnly, b.dataCentreKey, b.key);
+    });
+    for (std::size_t index = 1; index < instances.size(); ++index) {
+        const auto &previous = instances[index - 1];
+        auto &instance = instances[index];
+        const bool isSameDataCentre
+            = instance.ranksByNameOnly == previous.ranksByNameOnly && instance.dataCentreKey == previous.dataCentreKey;
+        instance.turn = isSameDataCentre ? previous.turn + 1 : 0;
+    }
+    std::sort(instances.begin(), instances.end(), [](const RankedInstance &a, const RankedInstance &b) {
+        return std::tie(a.ranksByNameOnly, a.turn, a.dataCentreKey, a.key) < std::tie(b.ranksByNameOnly, b.turn, b.dataCentreKey, b.key);
+    });
+    return instances;
+}
+
+bool PeerTable::isFirstByNameOnly(SteadyTime now) const
+{
+    const bool hasEarlierRelease = std::any_of(
+        m_rows.begin(), m_rows.end(), [now](const auto &item) { return isAlive(item.second, now) && item.second.ranksByNameOnly; });
+    if (!hasEarlierRelease) {
+        return false;
+    }
+    const auto ownKey = rankKey(m_self.name);
+    const auto higherRanked = std::count_if(
+        m_rows.begin(), m_rows.end(), [&](const auto &item) { return isWatchCandidate(item.second, now) && rankKey(item.first) < ownKey; });
+    return static_cast<std::size_t>(higherRanked) < storeWatcherCount;
+}
+
+bool PeerTable::shouldWatchStore(bool selfReachesStore, std::size_t watcherCount, SteadyTime now) const
 {
     if (!selfReachesStore) {
         return false;
     }
     const auto ownKey = rankKey(m_self.name);
+    const auto firstInDataCentre = std::count_if(m_rows.begin(), m_rows.end(), [&](const auto &item) {
+        const auto &[name, row] = item;
+        return row.descriptor.dataCentre == m_self.dataCentre && !row.ranksByNameOnly && isWatchCandidate(row, now)
+            && rankKey(name) < ownKey;
+    });
+    if (static_cast<std::size_t>(firstInDataCentre) >= watcherCount) {
+        return isFirstByNameOnly(now); // the ranks of all instances need not be known
+    }
     std::size_t higherRanked = 0;
+    for (const auto &instance : rankedInstances(now)) {
+        if (instance.row == nullptr || higherRanked >= watcherCount) {
+            break;
+        }
+        higherRanked += isWatchCandidate(*instance.row, now) ? 1 : 0;
+    }
+    return higherRanked < watcherCount || isFirstByNameOnly(now);
+}
+
+std::size_t PeerTable::countOtherDataCentresWithoutStore(SteadyTime now) const
+{
+    std::set<std::string_view> dataCentres;
     for (const auto &[name, row] : m_rows) {
-        const bool isCandidate = isAlive(row, now) && row.reachesStore && row.phase == PeerPhase::serving;
-        higherRanked += isCandidate && rankKey(name) < ownKey ? 1 : 0;
+        if (isAlive(row, now) && !row.reachesStore && row.descriptor.dataCentre != m_self.dataCentre) {
+            dataCentres.insert(row.descriptor.dataCentre);
+        }
     }
-    return higherRanked < storeWatcherCount;
+    return dataCentres.size();
 }
 
 bool PeerTable::shouldDeferLeaving(SteadyTime now) const
@@ -115,11 +183,19 @@
     return memberCount > 1 && availableCount + 1 < memberCount && 2 * availableCount < memberCount;
 }
 
-std::size_t PeerTable::rank(SteadyTime now) const
+std::size_t PeerTable::rankForStoreQuery(bool selfReachesStore, SteadyTime now) const
 {
-    const auto ownKey = rankKey(m_self.name);
-    return static_cast<std::size_t>(std::count_if(
-        m_rows.begin(), m_rows.end(), [&](const auto &item) { return isAlive(item.second, now) && rankKey(item.first) < ownKey; }));
+    std::size_t rank = 0;
+    std::size_t skipped = 0;
+    for (const auto &instance : rankedInstances(now)) {
+        if (instance.row == nullptr) {
+            break;
+        }
+        const bool isElsewhere = instance.row->descriptor.dataCentre != m_self.dataCentre;
+        const bool isSkipped = selfReachesStore && isElsewhere && !instance.row->reachesStore && skipped < maxSkippedPeers;
+        ++(isSkipped ? skipped : rank);
+    }
+    return rank;
 }
 
 std::size_t PeerTable::rankInDataCentre(SteadyTime now) const
@@ -154,20 +230,25 @@
 
 std::vector<KnownPeer> PeerTable::selectKnownPeers(SteadyTime now, std::size_t maxCount, std::mt19937_64 &random) const
 {
-    std::vector<KnownPeer> result;
-    for (const auto &[name, row] : m_rows) {
-        if (isAlive(row, now)) {
-            const auto age = std::chrono::duration_cast<Milliseconds>(now - row.lastAliveAt);
-            result.push_back(
-                {row.descriptor, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)), row.phase, row.reachesStore});
+    auto peers = rankedInstances(now);
+    std::erase_if(peers, [](const RankedInstance &instance) { return instance.row == nullptr; });
+    if (peers.size() > maxCount) {
+        const auto firstOther = peers.begin() + std::min<std::ptrdiff_t>(topRankedPeersPerReport, static_cast<std::ptrdiff_t>(maxCount));
+        const auto firstOfOwn = std::find_if(firstOther, peers.end(), [this](const RankedInstance &instance) {
+            return instance.row->descriptor.dataCentre == m_self.dataCentre;
+        });
+        const bool isOneMoreFixed = firstOfOwn != peers.end() && firstOther < peers.begin() + static_cast<std::ptrdiff_t>(maxCount);
+        if (isOneMoreFixed) {
+            std::iter_swap(firstOther, firstOfOwn);
         }
+        std::shuffle(firstOther + (isOneMoreFixed ? 1 : 0), peers.end(), random);
+        peers.resize(maxCount);
     }
-    if (result.size() > maxCount) {
-        const auto firstRandom = result.begin() + std::min<std::ptrdiff_t>(topRankedPeersPerReport, static_cast<std::ptrdiff_t>(maxCount));
-        std::partial_sort(result.begin(), firstRandom, result.end(),
-                          [](const KnownPeer &a, const KnownPeer &b) { return rankKey(a.descriptor.name) < rankKey(b.descriptor.name); });
-        std::shuffle(firstRandom, result.end(), random);
-        result.resize(maxCount);
+    std::vector<KnownPeer> result;
+    for (const auto &peer : peers) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - peer.row->lastAliveAt);
+        result.push_back({peer.row->descriptor, static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)), peer.row->phase,
+                          peer.row->reachesStore});
     }
     return result;
 }
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -16,6 +16,7 @@
     PeerPhase phase = PeerPhase::starting;
     bool reachesStore = false;
     bool isWatchingStore = false;
+    bool ranksByNameOnly = false; ///< as releases did before PeerReport::ranksAcrossDataCentres; known from its own reports only
     std::uint64_t lastSequenceNumber = 0;
     StoreDataVersion storeDataVersion;
     SteadyTime storeDataConfirmedAt {}; ///< when the store last confirmed storeDataVersion, by the age given in the report
@@ -42,6 +43,9 @@
 /** Number of instances that watch the store at the same time. Two, so that losing one causes no delay. */
 inline constexpr std::size_t storeWatcherCount = 2;
 
+/** Maximum number of peers that rankForStoreQuery() leaves out. */
+inline constexpr std::size_t maxSkippedPeers = 8;
+
 /** Fleet size, including this instance, up to which each instance reports to every other one. */
 inline constexpr std::size_t fullMeshMaxInstances = 12;
 
@@ -63,6 +67,11 @@
 
 /** The other instances of the fleet, by name, and the decisions that depend on which of them are alive.
 
+    Instances have a rank in an order in which the data centres take turns: the first instance of each data centre, then the
+    second of each, and so on. Within a data centre, and among instances of the same turn, rankKey() decides. So the first
+    instances are in as many data centres as there are, whatever the names and the sizes of the data centres, and a failure of one
+    data centre leaves some of them.
+
     Thread safety: none. Every `now` is a reading of the same steady clock.
 */
 class PeerTable
@@ -93,11 +102,15 @@
     /** Removes peers without a sign of life for longer than peerRetentionPeriod. */
     void evictSilent(SteadyTime now);
 
-    /** @returns whether this instance should watch the store: whether it is among the first storeWatcherCount by rank of
-        the instances that are alive, serving and able to reach the store.
+    /** @returns whether this instance should watch the store: whether it is among the first `watcherCount` by rank of the
+        instances that are alive, serving and able to reach the store. While instances of an earlier release are alive, which
+        rank by name only, the first storeWatcherCount by their order watch as well, since those instances rely on them.
         @param selfReachesStore whether this instance counts itself among those that reach the store
     */
-    bool shouldWatchStore(bool selfReachesStore, SteadyTime now) const;
+    bool shouldWatchStore(bool selfReachesStore, std::size_t watcherCount, SteadyTime now) const;
+
+    /** @returns the number of other data centres in which a peer that is alive does not reach the store. */
+    std::size_t countOtherDataCentresWithoutStore(SteadyTime now) const;
 
     /** @returns whether this instance should wait before it leaves, because fewer than half of the instances of its data
         centre would remain available. With fewer than half of them available the network fabric forwards packets to all
@@ -112,9 +125,10 @@
         return m_rows.size() < fullMeshMaxInstances;
     }
 
-    /** @returns this instance's rank among those alive, from 0, in the order of rankKey(). Used to stagger actions that any
-        instance may take but only a few should. */
-    std::size_t rank(SteadyTime now) const;
+    /** @returns this instance's rank among those alive, from 0. Used to stagger queries of the store that any instance may make
+        but only a few should. If this instance reaches the store, peers of other data centres that do not are left out, at most
+        maxSkippedPeers of them, so that not all instances query a store that is out of reach for all. */
+    std::size_t rankForStoreQuery(bool selfReachesStore, SteadyTime now) const;
 
     /** @returns this instance's rank among those alive in its own data centre, from 0. */
     std::size_t rankInDataCentre(SteadyTime now) const;
@@ -126,8 +140,8 @@
     */
     std::vector<Endpoint> selectReportTargets(ReportScope scope, SteadyTime now, std::mt19937_64 &random);
 
-    /** @returns at most `maxCount` peers that are alive, for a report. If there are more, the first few by rank are included
-        and the rest is drawn at random. */
+    /** @returns at most `maxCount` peers that are alive, for a report. If there are more, the first few by rank and the first of
+        this instance's own data centre are included, and the rest is drawn at random. */
     std::vector<KnownPeer> selectKnownPeers(SteadyTime now, std::size_t maxCount, std::mt19937_64 &random) const;
 
     std::map<std::string, PeerRow> &rows()
@@ -146,13 +160,27 @@
     }
 
 private:
+    /** An instance that is alive, with its place in the order of ranks. */
+    struct RankedInstance {
+        const PeerRow *row = nullptr; ///< null for this instance
+        bool ranksByNameOnly = false; ///< an instance of an earlier release; ranks behind all others
+        std::size_t turn = 0; ///< rank in its data centre
+        std::uint64_t dataCentreKey = 0;
+        std::uint64_t key = 0;
+    };
+
+    /** @returns the instances that are alive, and this one, in the order of their ranks. */
+    std::vector<RankedInstance> rankedInstances(SteadyTime now) const;
+
+    bool isFirstByNameOnly(SteadyTime now) const;
+
     PeerDescriptor m_self;
     std::map<std::string, PeerRow> m_rows;
     std::uint64_t m_round = 0;
 };
 
-/** @returns the 64-bit FNV-1a (Fowler, Noll and Vo) hash of an instance's name. Instances are ranked by it, lowest first, so
-    that the order is the same everywhere but does not follow the order of the names. */
+/** @returns the 64-bit FNV-1a (Fowler, Noll and Vo) hash of a name. It is the same everywhere, but names that differ only in their
+    last character have keys close to each other: an order by it keeps the instances of a data centre together. */
 std::uint64_t rankKey(const std::string &name);
 
 /** @returns whether the peer gave a sign of life within the last peerLivenessTimeout. */
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -139,6 +139,7 @@
     report.phase = ownPhase(state);
     report.reachesStore = isStoreReachable(state);
     report.isWatchingStore = state.watchReason != WatchReason::none;
+    report.ranksAcrossDataCentres = true;
     report.storeDataVersion = {state.routes.configuration().revision, state.upstreams.digest()};
     report.storeRevisions = state.confirmedRevisions;
     report.storeDataAgeMs = millisecondsSince(state, std::min(state.upstreamsConfirmedAt, state.routesConfirmedAt));
@@ -174,10 +175,19 @@
     return state.settings.isSeed ? Milliseconds(0) : initialFleetStoreQueryDelay;
 }
 
+/** @returns the number of instances that should watch the store: while store data is not fresh, one more for each other data
+    centre known to be without the store. If most of them are, the watch so finds one that is not in a few steps. */
+std::size_t requiredWatcherCount(const CookieState &state)
+{
+    const bool isFresh = storeDataAge(state) <= freshStoreDataAge;
+    return storeWatcherCount + (isFresh ? 0 : state.peers.countOtherDataCentresWithoutStore(state.now));
+}
+
 bool isWatcherByRank(const CookieState &state)
 {
     const bool isDiscoveryOver = state.now - state.startedAt > peerDiscoveryTime;
-    return hasRoutesAndUpstreams(state) && isDiscoveryOver && state.peers.shouldWatchStore(isStoreReachable(state), state.now);
+    return hasRoutesAndUpstreams(state) && isDiscoveryOver
+        && state.peers.shouldWatchStore(isStoreReachable(state), requiredWatcherCount(state), state.now);
 }
 
 /** @returns whether an instance that is among the first by rank may start watching. While store data is fresh another
@@ -195,11 +205,14 @@
         || (topRankedFor >= takeoverDelay && storeDataAge(state) > freshStoreDataAge);
 }
 
-/** @returns whether store data is so old that this instance should query the store whatever its rank. Among peers that hear
-    each other the first few ranks query for all, since the store answers any of them equally well. */
+/** @returns whether store data is so old that this instance should query the store although it is not among the watchers. Among
+    peers that hear each other the first few ranks query for all. */
 bool isFallbackWatchDue(const CookieState &state)
 {
-    const auto rank = state.peers.rank(state.now);
+    if (storeDataAge(state) <= fallbackWatchAge) {
+        return false;
+    }
+    const auto rank = state.peers.rankForStoreQuery(isStoreReachable(state), state.now);
     const auto watchAge = rank < fallbackWatcherCount ? fallbackWatchAge : lateFallbackWatchAge;
     return storeDataAge(state) > watchAge + delayPerRank * std::min(rank, maxStaggeredRank);
 }
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -53,9 +53,12 @@
                 addUpstream(settings.dataCentres[zone], service);
             }
         }
-        for (int index = 0; index < settings.instancesPerDataCentre; ++index) {
+        const int count = settings.instancesByDataCentre.empty() ? settings.instancesPerDataCentre : settings.instancesByDataCentre[zone];
+        for (int index = 0; index < count; ++index) {
             auto &instance = instances.emplace_back();
             instance.dataCentre = settings.dataCentres[zone];
+            instance.name = settings.areNamedByDataCentre ? "frontend-" + instance.dataCentre + "-" + std::to_string(index + 1)
+                                                          : "entry-" + std::to_string(instances.size() - 1);
             instance.clock = std::make_unique<InstanceClock>(clock);
             instance.peer = toEndpoint({address++, peerPort});
         }
@@ -144,7 +147,7 @@
 {
     auto &instance = instances[index];
     CookieInstanceSettings settings;
-    settings.name = "entry-" + std::to_string(index);
+    settings.name = instance.name;
     settings.dataCentre = instance.dataCentre;
     settings.incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
     settings.reportEndpoint = instance.peer;
@@ -280,6 +283,20 @@
     }
 }
 
+/** Begins a call that gets no answer, or gives it up. */
+void CookieFleetModel::waitForSilentStore(ModelInstance &instance)
+{
+    const auto now = clock.steadyNow();
+    if (!instance.silentCallEndsAt) {
+        ++instance.storeCalls;
+        instance.silentCallEndsAt = now + silentCallTimeout;
+    } else if (now >= *instance.silentCallEndsAt) {
+        instance.silentCallEndsAt.reset();
+        instance.decisions->beginBatch();
+        instance.decisions->storeFailed();
+    }
+}
+
 /** Answers the lists and watches of the instances that ask. */
 void CookieFleetModel::serveStore()
 {
@@ -289,6 +306,10 @@
         if (!instance.isRunning || !instance.decisions->shouldQueryStore() || now < instance.nextStoreAnswer) {
             continue;
         }
+        if (instance.isStoreSilent || instance.silentCallEndsAt) {
+            waitForSilentStore(instance);
+            continue;
+        }
         auto &decisions = *instance.decisions;
         instance.seenRevision = std::max(instance.seenRevision, decisions.storeRevisions().upstreams);
         const bool hasNews = instance.seenRevision < m_revision;
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -33,6 +33,8 @@
 struct ModelSettings {
     std::vector<std::string> dataCentres {"a", "b", "c"};
     int instancesPerDataCentre = 2;
+    std::vector<int> instancesByDataCentre; ///< if not empty, used in place of instancesPerDataCentre
+    bool areNamedByDataCentre = false; ///< "frontend-a-1", as platforms name instances
     int upstreamsPerDataCentre = 4;
     std::uint16_t slots = 2;
     int queue = 8;
@@ -146,7 +148,10 @@
     std::unique_ptr<CookieInstance> decisions;
     bool isRunning = false;
     bool isInRotation = false;
+    std::string name;
     bool reachesStore = true;
+    bool isStoreSilent = false; ///< its calls to the store get no answer, and it gives them up after silentCallTimeout
+    std::optional<SteadyTime> silentCallEndsAt;
     bool hasSlowLink = false; ///< packets wait at its link for longer than clients wait to repeat them
     std::uint64_t seenRevision = 0;
     SteadyTime nextStoreAnswer {};
@@ -227,6 +232,7 @@
     void every(Milliseconds period, const std::function<void()> &action);
     void carryOut(std::size_t instance);
     void serveStore();
+    void waitForSilentStore(ModelInstance &instance);
     void checkRotation();
     void toInstance(const std::string &dataCentre, const ClientPacket &packet);
     void toUpstream(const std::string &fromDataCentre, const Endpoint &to, UpstreamId id, const ClientPacket &packet);
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModelParts.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModelParts.h
@@ -18,6 +18,7 @@
 inline constexpr Microseconds storeDelay = 4ms;
 inline constexpr Microseconds slowLinkDelay = 300ms;
 inline constexpr Milliseconds watchTime = 1s;
+inline constexpr Milliseconds silentCallTimeout = 1400ms;
 inline constexpr Milliseconds readinessPeriod = 500ms;
 inline constexpr Milliseconds drainBound = 3s;
 inline constexpr std::uint32_t firstInstanceAddress = 0x0a000001;
