--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import socket
 import struct
 import subprocess
 import tempfile
@@ -59,16 +60,18 @@
 
 class Store:
     """Lists and watches by revision. `mode` is normal, busy, silent or lost (history gone, once for each watch). The store can
-    come back from a copy of itself, in the next era: its revisions go back, and what was written since is gone."""
+    come back from a copy of itself, in the next era: its revisions go back, and what was written since is gone. It answers at one
+    address for each zone; calls at those in `turned_away` get no answer."""
 
     def __init__(self):
         self.kinds, self.history, self.revision, self.mode, self.calls = {"servers": {}, "config": {}}, [], 1, "normal", 0
         self.lost_before, self.era = 0, 1
+        self.servers, self.turned_away = [], set()
         self.copies = []  # (time, revision, objects by kind) after each write
         self.changed = asyncio.Condition()
 
     async def start(self, address):
-        self.server = await asyncio.start_server(self.serve, *address)
+        self.servers.append(await asyncio.start_server(self.serve, *address))
 
     def keep_copy(self):
         self.copies.append((asyncio.get_running_loop().time(), self.revision, {kind: dict(items) for kind, items in self.kinds.items()}))
@@ -111,7 +114,10 @@
             while (await reader.readline()).strip():
                 pass
             self.calls += 1
+            ip = writer.get_extra_info("sockname")[0]
             status, body = await self.answer(line.split(" ")[1])
+            if ip in self.turned_away:
+                await asyncio.sleep(60)
             text = json.dumps(body).encode()
             writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\nContent-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text)
             await writer.drain()
@@ -172,11 +178,25 @@
         else:
             await self.stage.store.write("servers", f"i-{self.ident:x}", None)
 
-    def crash(self):
+    def crash(self, is_silent=False):
+        """@param is_silent connection attempts get no answer afterwards; else they are refused"""
         self.alive = False
         self.socket.close()
         self.listener.close()
         self.flows.clear()
+        if is_silent:
+            self.fill_connection_queue()
+
+    def fill_connection_queue(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.address)
+        listener.listen(0)
+        callers = [socket.socket() for _ in range(3)]
+        for caller in callers:
+            caller.setblocking(False)
+            caller.connect_ex(self.address)
+        self.full_queue = [listener, *callers]
 
     def received(self, raw):
         if int.from_bytes(raw[:8], "big") != self.ident or not self.alive:
@@ -300,12 +320,14 @@
 class CookieStage:
     """One running system with cookie steering."""
 
-    def __init__(self, build, zones=("dc-1", "dc-2"), instances_per_zone=2, clients_per_zone=8, network=77):
-        self.program = os.path.join(build, "apps/sapphirespand/sapphirespand")
+    def __init__(self, build, zones=("dc-1", "dc-2"), instances_per_zone=2, clients_per_zone=8, network=77, earlier_build=None):
+        """@param earlier_build each second instance of a zone starts from this build at first, and all by turns when they are started again"""
+        self.builds = [earlier_build or build, build]
         self.folder = tempfile.TemporaryDirectory(prefix="sapphirespan-")
         self.ingress, self.peer, self.control, self.readiness, self.store_port = (network * 100 + n for n in (1, 2, 3, 4, 5))
         self.network, self.zones, self.clients_per_zone = network, zones, clients_per_zone
-        self.instances = [{"name": f"entry-{n + 1}", "ip": f"127.{network}.0.{n + 1}", "zone": zones[n % len(zones)], "process": None, "ready": False}
+        self.instances = [{"name": f"entry-{zones[n % len(zones)]}-{n // len(zones) + 1}", "ip": f"127.{network}.0.{n + 1}",
+                           "zone": zones[n % len(zones)], "process": None, "ready": False, "starts": n // len(zones)}
                           for n in range(len(zones) * instances_per_zone)]
         self.upstreams, self.next_ident = [], 0x1001
         self.asked = self.served = self.wrong = self.broken = self.misdelivered = self.late_openings = 0
@@ -322,6 +344,9 @@
         ready = [i for i in mine if i["ready"]] or mine
         return ready[zlib.crc32(repr(client).encode()) % len(ready)] if ready else None
 
+    def store_ip(self, zone):
+        return f"127.{self.network}.1.{1 + self.zones.index(zone)}"
+
     def start_instance(self, instance):
         path = os.path.join(self.folder.name, instance["name"] + ".yaml")
         seeds = ", ".join(f'"{i["ip"]}:{self.control}"' for i in self.instances[:3])
@@ -329,9 +354,11 @@
             file.write(f"steering: cookie\ninstance: {instance['name']}\ndata_centre: {instance['zone']}\n"
                        f"listen: {{ingress: \"{instance['ip']}:{self.ingress}\", readiness: \"{instance['ip']}:{self.readiness}\","
                        f" control: \"{instance['ip']}:{self.control}\", peer: \"{instance['ip']}:{self.peer}\"}}\n"
-                       f"platform: \"127.{self.network}.1.1:{self.store_port}\"\nseeds: [{seeds}]\nleave_limit: 6s\n")
+                       f"platform: \"{self.store_ip(instance['zone'])}:{self.store_port}\"\nseeds: [{seeds}]\nleave_limit: 6s\n")
+        instance["starts"] += 1
+        program = os.path.join(self.builds[instance["starts"] % len(self.builds)], "apps/sapphirespand/sapphirespand")
         log = open(os.path.join(self.folder.name, instance["name"] + ".log"), "a")
-        instance["process"] = subprocess.Popen([self.program, f"--settings={path}"], stdout=log, stderr=log)
+        instance["process"] = subprocess.Popen([program, f"--settings={path}"], stdout=log, stderr=log)
 
     async def is_ready(self, instance):
         try:
@@ -388,7 +415,8 @@
 
     async def start(self):
         self.store = Store()
-        await self.store.start((f"127.{self.network}.1.1", self.store_port))
+        for zone in self.zones:
+            await self.store.start((self.store_ip(zone), self.store_port))
         for service in SERVICES:
             for zone in self.zones:
                 for _ in range(2):
