--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -239,6 +239,7 @@
         self.stage, self.ip, self.zone, self.service = stage, ip, zone, service
         self.port, self.flow, self.count = 30000, None, 0
         self.random = random.Random(ip)
+        self.longest_pause = self.random.choice((0.1, 0.1, 3))  # some flows are idle most of the time
 
     async def start(self):
         self.socket = await udp((self.ip, self.stage.ingress), self.received)
@@ -252,13 +253,15 @@
 
     def received(self, raw):
         got, flow = Parsed(raw), self.flow
-        if flow is None or got.target[1] != flow["port"] or flow["event"].is_set():
+        if flow is None or got.target[1] != flow["port"] or flow["reset"]:
             return
         if got.flags & RST:
             if got.checksum == 0 and flow["open"] and self.stage.is_held((self.ip, flow["port"])):
                 self.stage.broken += 1
             flow["reset"] = True
             flow["event"].set()
+        elif flow["event"].is_set():
+            return
         elif got.flags & SYN and not flow["open"]:
             flow.update(open=True, echo=got.echo, peer=got.seq + 1)
             flow["event"].set()
@@ -282,7 +285,7 @@
         return False
 
     async def attempt(self, body):
-        if self.flow is None:
+        if self.flow is None or self.flow["reset"]:
             self.port += 1
             seq = self.random.getrandbits(31)
             self.flow = {"port": self.port, "seq": seq + 1, "peer": 0, "echo": 0, "open": False, "reset": False, "answer": None,
@@ -314,7 +317,7 @@
                 await asyncio.wait_for(self.request(), DEADLINE)
             except asyncio.TimeoutError:
                 self.flow = None
-            await asyncio.sleep(self.random.uniform(0.02, 0.1))
+            await asyncio.sleep(self.random.uniform(0.02, self.longest_pause))
 
 
 class CookieStage:
