Probe upstreams of a silent data centre sooner, so that their flows wait less

Change: the first probe follows a silent sample at once; in a full mesh an upstream whose flows stall does not wait for the sample; the time over which a larger fleet spreads its probes grows with its size, up to half a second at 100 instances.

--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.cpp
@@ -132,9 +132,17 @@
                           [foundAt = evidence.lastFailureAt](UpstreamRow &row) { avoidWithDataCentre(row.evidence, foundAt); });
 }
 
-/** Schedules a probe of each upstream of a data centre that has open flows here and made no progress lately. Idle flows count too:
-    their clients may send on them later, and may not repeat what they sent. In a large fleet the probes are spread over
-    `maxCheckDelay`, so that the verdicts of the first few instances spare the others theirs. */
+/** @returns the share of `maxCheckDelay` after which this instance probes an upstream by itself: none in a small fleet, and the more at
+    random the larger the fleet is, so that the verdicts of the first few instances spare the others theirs. */
+double checkDelayShare(CookieState &state)
+{
+    constexpr double fleetSizeForMaxDelay = 100;
+    const auto fleetSize = 1.0 + static_cast<double>(state.peers.rows().size());
+    return state.peers.isFullMesh() ? 0 : uniformRandom(state) * std::min(1.0, fleetSize / fleetSizeForMaxDelay);
+}
+
+/** Probes each upstream of a data centre by itself that has open flows here and made no progress lately. Idle flows count too: their
+    clients may send on them later, and may not repeat what they sent. */
 void checkUpstreamsWithOpenFlows(CookieState &state, const std::string &name)
 {
     for (const auto &[ends, flow] : state.flows) {
@@ -142,10 +150,15 @@
             continue;
         }
         auto *row = state.upstreams.find(flow.cookie);
-        if (row != nullptr && row->entry.dataCentre == name && !isDepartedOrUnreachable(*row)
-            && state.now - row->evidence.lastProgressAt >= suspectAfterNoProgress && !row->evidence.peerVerdictCheckAt) {
-            scheduleCheck(row->evidence, state.now, state.peers.isFullMesh() ? 0 : uniformRandom(state));
-            state.upstreamsToEvaluate.insert(row->cookie);
+        if (row == nullptr || row->entry.dataCentre != name || isDepartedOrUnreachable(*row)
+            || state.now - row->evidence.lastProgressAt < suspectAfterNoProgress || row->evidence.peerVerdictCheckAt) {
+            continue;
+        }
+        const auto delayShare = checkDelayShare(state);
+        scheduleCheck(row->evidence, state.now, delayShare);
+        state.upstreamsToEvaluate.insert(row->cookie);
+        if (delayShare == 0 && updateReachability(row->evidence, state.now)) {
+            probeUpstream(state, *row); // at once; the evaluation of the next tick adds the second probe
         }
     }
 }
@@ -345,7 +358,9 @@
     }
     const auto &evidence = found->second;
     const bool isFirstSamplePending = evidence.state == Reachability::suspect && evidence.consecutiveSilentSamples == 0;
-    return isFirstSamplePending || (evidence.state == Reachability::unreachable && row.evidence.state == Reachability::unreachable);
+    const bool isUrgent = row.evidence.stalledSince && state.peers.isFullMesh();
+    return (isFirstSamplePending && !isUrgent)
+        || (evidence.state == Reachability::unreachable && row.evidence.state == Reachability::unreachable);
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieDataCentreSystem.h
@@ -35,8 +35,9 @@
     answer, or received while flows there make progress, are ignored. An answer makes an unreachable data centre reachable. */
 void handleDataCentreVerdict(CookieState &state, const Verdict &verdict);
 
-/** @returns whether an upstream is not probed by itself now, since a probe of its data centre comes first: the first sample of a
-    suspect data centre, or the retry of one that is unreachable, for an upstream that is unreachable too. */
+/** @returns whether an upstream is not probed by itself now, since a probe of its data centre comes first: the retry of one that is
+    unreachable, for an upstream that is unreachable too, or the first sample of a suspect one. In a small fleet an upstream whose
+    flows stall does not wait for that sample. */
 bool isProbeLeftToDataCentreCheck(const CookieState &state, const UpstreamRow &row);
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -86,8 +86,7 @@
         }
         const bool isProbeAllowed = row.entry.phase != RegistrationPhase::departed && !isProbeLeftToDataCentreCheck(state, row);
         if (isProbeAllowed && isProbeDue(row.evidence, state.now) && !isRetryLeftToPeers(state, row)) {
-            ++row.evidence.pendingProbes;
-            requestProbe(state, row, ProbePurpose::upstream);
+            probeUpstream(state, row);
             isProbing = true;
         }
     }
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -218,8 +218,7 @@
         scheduleCheck(row.evidence, state.now, 0);
         state.upstreamsToEvaluate.insert(row.cookie);
     } else if (isVerificationDue(row.evidence, state.now)) {
-        ++row.evidence.pendingProbes;
-        requestProbe(state, row, ProbePurpose::upstream);
+        probeUpstream(state, row);
         requestSelfCheckProbe(state);
     }
 }
--- a/modules/sapphirespan_cookie/systems/CookieProbing.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.cpp
@@ -26,6 +26,12 @@
     state.probeRequests.push_back({row.cookie, row.address, state.now, purpose});
 }
 
+void probeUpstream(CookieState &state, UpstreamRow &row)
+{
+    ++row.evidence.pendingProbes;
+    requestProbe(state, row, ProbePurpose::upstream);
+}
+
 bool isSilenceConclusive(const CookieState &state, SteadyTime startedAt)
 {
     return state.lastAnsweredProbeStartedAt + selfCheckValidity >= startedAt;
--- a/modules/sapphirespan_cookie/systems/CookieProbing.h
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.h
@@ -7,6 +7,9 @@
 /** Queues a probe, that is, a connection attempt to an upstream; CookieInstance::takeProbeRequests() hands it out. */
 void requestProbe(CookieState &state, UpstreamRow &row, ProbePurpose purpose);
 
+/** Queues a probe of an upstream by itself, and counts it as pending. The caller sees to a self-check probe. */
+void probeUpstream(CookieState &state, UpstreamRow &row);
+
 /** Time for which an answered probe shows, from its start on, that this instance's own link and event loop work. Covers the
     first of two probes and its answer. */
 inline constexpr Milliseconds selfCheckValidity {100};
