--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -257,7 +257,7 @@
             return
         if got.flags & RST:
             if got.checksum == 0 and flow["open"] and self.stage.is_held((self.ip, flow["port"])):
-                self.stage.broken += 1
+                self.stage.note_broken(self, flow["port"])
             flow["reset"] = True
             flow["event"].set()
         elif flow["event"].is_set():
@@ -334,6 +334,7 @@
                           for n in range(len(zones) * instances_per_zone)]
         self.upstreams, self.next_ident = [], 0x1001
         self.asked = self.served = self.wrong = self.broken = self.misdelivered = self.late_openings = 0
+        self.broken_flows = []
         self.is_over = False
 
     def address_of(self, service):
@@ -342,6 +343,19 @@
     def is_held(self, client):
         return any(upstream.alive and any(key[0] == client for key in upstream.flows) for upstream in self.upstreams)
 
+    def note_broken(self, client, port):
+        self.broken += 1
+        holder = next(u for u in self.upstreams if u.alive and any(key[0] == (client.ip, port) for key in u.flows))
+        self.broken_flows.append(f"{client.ip}:{port}")
+        print(f"broken flow: {client.ip}:{port}, held by upstream {holder.ident:x} of {holder.service} in {holder.zone}")
+
+    def print_logs_of_broken_flows(self):
+        for instance in self.instances:
+            with open(os.path.join(self.folder.name, instance["name"] + ".log")) as file:
+                for line in file:
+                    if any(flow in line for flow in self.broken_flows) or (self.broken_flows and '_dark"' in line):
+                        print(f"log {instance['name']} (start {instance['starts']}): {line.strip()}")
+
     def instance_for(self, zone, client):
         mine = [i for i in self.instances if i["zone"] == zone]
         ready = [i for i in mine if i["ready"]] or mine
