--- a/modules/sapphirespan_cookie/tests/DataCentreSampleTest.cpp
+++ b/modules/sapphirespan_cookie/tests/DataCentreSampleTest.cpp
@@ -2,13 +2,11 @@
     Open flows of upstreams in a data centre that is found unreachable as a whole, by a sample of its upstreams or by peers.
 */
 #include "model/FleetChecks.h"
+#include "model/OneInstance.h"
 
-#include "sapphirespan_cookie/state/CookieState.h"
 #include "sapphirespan_cookie/systems/CookieJudgeSystem.h"
-#include "sapphirespan_cookie/systems/CookiePacketSystem.h"
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
-#include <cstring>
 #include <set>
 
 using namespace sapphirespan;
@@ -78,20 +76,9 @@
         state = std::make_unique<CookieState>(settings, format, clock);
         state->now = clock.steadyNow();
         for (UpstreamId id = 1; id <= 3; ++id) {
-            UpstreamEntry entry;
-            entry.id = id;
-            entry.startedAt = 100;
-            entry.revision = id;
-            entry.service = "orders";
-            entry.address = {0x0a000000 + static_cast<std::uint32_t>(id), 8080};
-            entry.dataCentre = "b";
-            entry.slots = 2;
-            state->upstreams.merge(entry, state->now);
-            inB.push_back(cookieOf(id, 100));
+            inB.push_back(listUpstream(*state, id, "b"));
         }
-        state->areUpstreamsLoaded = true;
-        state->routes.apply({1, 1, 15s, {{{0xc6120001, 443}, {{"orders", 1}}}}});
-        state->upstreamsConfirmedAt = state->routesConfirmedAt = state->now;
+        startServing(*state);
         for (std::uint16_t number = 1; number <= 2 * fullMeshMaxInstances; ++number) {
             KnownPeer peer;
             peer.descriptor.name = "peer-" + std::to_string(number);
@@ -104,16 +91,7 @@
 
     void openFlow(FlowCookie cookie, std::uint16_t port)
     {
-        ClientPacket packet;
-        packet.ends = {{0x64400001, port}, {0xc6120001, 443}};
-        packet.cookie = cookie;
-        packet.sequence = 100;
-        packet.acknowledged = 500;
-        packet.payloadBytes = 100;
-        auto bytes = std::vector<std::uint8_t>(sizeof packet);
-        std::memcpy(bytes.data(), &packet, sizeof packet);
-        handleClientPacket(*state, bytes);
-        state->outbox.clear();
+        handleData(*state, cookie, port, 100, 500);
     }
 
     /** Three peers report the data centre, as those of an earlier release do after a sample each. */
--- a/modules/sapphirespan_cookie/tests/InstanceReachabilityTest.cpp
+++ b/modules/sapphirespan_cookie/tests/InstanceReachabilityTest.cpp
@@ -1,16 +1,13 @@
 /** @file
     What one instance concludes about upstreams and data centres, and when it resets their flows.
 */
-#include "model/CookieFleetModel.h"
+#include "model/OneInstance.h"
 
-#include "sapphirespan_cookie/state/CookieState.h"
 #include "sapphirespan_cookie/systems/CookieJudgeSystem.h"
-#include "sapphirespan_cookie/systems/CookiePacketSystem.h"
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstring>
 #include <set>
 
 using namespace sapphirespan;
@@ -36,37 +33,17 @@
         settings.dataCentre = "a";
         state = std::make_unique<CookieState>(settings, format, clock);
         state->now = clock.steadyNow();
-        for (UpstreamId id = 1; id <= 4; ++id) {
-            UpstreamEntry entry;
-            entry.id = id;
-            entry.startedAt = 100;
-            entry.revision = id;
-            entry.service = "orders";
-            entry.address = {0x0a000000 + static_cast<std::uint32_t>(id), 8080};
-            entry.dataCentre = id <= 2 ? "b" : "a";
-            entry.slots = 2;
-            state->upstreams.merge(entry, state->now);
-            if (id <= 2) {
-                inB.push_back(cookieOf(id, 100));
-            }
+        for (UpstreamId id = 1; id <= 2; ++id) {
+            inB.push_back(listUpstream(*state, id, "b"));
         }
-        state->areUpstreamsLoaded = true;
-        state->routes.apply({1, 1, 15s, {{{0xc6120001, 443}, {{"orders", 1}}}}});
-        state->upstreamsConfirmedAt = state->routesConfirmedAt = state->now;
+        listUpstream(*state, 3, "a");
+        listUpstream(*state, 4, "a");
+        startServing(*state);
     }
 
     void data(FlowCookie cookie, std::uint16_t port, std::uint32_t sequence, std::uint32_t acknowledged)
     {
-        ClientPacket packet;
-        packet.ends = {{0x64400001, port}, {0xc6120001, 443}};
-        packet.cookie = cookie;
-        packet.sequence = sequence;
-        packet.acknowledged = acknowledged;
-        packet.payloadBytes = 100;
-        auto bytes = std::vector<std::uint8_t>(sizeof packet);
-        std::memcpy(bytes.data(), &packet, sizeof packet);
-        handleClientPacket(*state, bytes);
-        state->outbox.clear();
+        handleData(*state, cookie, port, sequence, acknowledged);
     }
 
     void run(Milliseconds time)
@@ -142,17 +119,8 @@
     settings.dataCentre = "a";
     CookieState state(settings, format, clock);
     state.now = clock.steadyNow();
-    UpstreamEntry entry;
-    for (UpstreamId id = 1; id <= 2; ++id) {
-        entry.id = id;
-        entry.startedAt = 100;
-        entry.revision = id;
-        entry.service = "orders";
-        entry.address = {0x0a000000 + static_cast<std::uint32_t>(id), 8080};
-        entry.dataCentre = "b";
-        entry.slots = 2;
-        state.upstreams.merge(entry, state.now);
-    }
+    listUpstream(state, 1, "b");
+    listUpstream(state, 2, "b");
     for (auto &[cookie, row] : state.upstreams.rows()) {
         noteStall(row.evidence, false, state.now);
         updateReachability(row.evidence, state.now + 300ms);
