Soak: count a flow as held only by the upstream that it is open with

Its trace: the opening went to upstream 1001 through one instance, and its copy, 268 ms later, to 100f through another one; the client took the answer of 1001 and never confirmed 100f. Twelve seconds later 1001 crashed, and the flow was reset rightly ("its upstream is dark", 1001). The check took the copy at 100f for a flow that was held.

--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -256,8 +256,9 @@
         if flow is None or got.target[1] != flow["port"] or flow["reset"]:
             return
         if got.flags & RST:
-            if got.checksum == 0 and flow["open"] and self.stage.is_held((self.ip, flow["port"])):
-                self.stage.note_broken(self, flow["port"])
+            holder = self.stage.holder((self.ip, flow["port"]), flow["echo"])
+            if got.checksum == 0 and flow["open"] and holder:
+                self.stage.note_broken(self, flow["port"], holder)
             flow["reset"] = True
             flow["event"].set()
         elif flow["event"].is_set():
@@ -340,12 +341,14 @@
     def address_of(self, service):
         return SERVICES[service]
 
-    def is_held(self, client):
-        return any(upstream.alive and any(key[0] == client for key in upstream.flows) for upstream in self.upstreams)
+    def holder(self, client, echo):
+        """@returns the living upstream that the client's flow is open with, or None. Another one may hold a copy of the opening that was
+        placed there and never confirmed."""
+        return next((upstream for upstream in self.upstreams if upstream.alive
+                     and any(key[0] == client and flow["echo"] == echo for key, flow in upstream.flows.items())), None)
 
-    def note_broken(self, client, port):
+    def note_broken(self, client, port, holder):
         self.broken += 1
-        holder = next(u for u in self.upstreams if u.alive and any(key[0] == (client.ip, port) for key in u.flows))
         self.broken_flows.append(f"{client.ip}:{port}")
         print(f"broken flow: {client.ip}:{port}, held by upstream {holder.ident:x} of {holder.service} in {holder.zone}")
 
