--- a/modules/sapphirespan_cookie/tests/DataCentreSampleTest.cpp
+++ b/modules/sapphirespan_cookie/tests/DataCentreSampleTest.cpp
@@ -145,10 +145,8 @@
         auto settings = withIdleFlows(seed);
         settings.upstreamsPerDataCentre = 2;
         auto fleet = std::make_unique<CookieFleetModel>(settings);
-        std::vector<std::size_t> added;
-        for (int count = 0; count < 12; ++count) {
-            added.push_back(fleet->addUpstream("b", "orders"));
-        }
+        std::vector<std::size_t> added(12);
+        std::generate(added.begin(), added.end(), [&fleet] { return fleet->addUpstream("b", "orders"); });
         fleet->run(8s);
         for (const std::size_t index : {0, 1, 4, 5}) { // those of a and c, so that their clients have flows in b
             fleet->drain(index);
