Say what a suspicion rests on, and count findings that flows contradict

upstream_suspect and upstream_dark now name it, for example "refused; no progress for 351 ms, stalled flows: 1". New metrics: resets of open flows by reason, attempts by purpose and result, and progress of flows at upstreams that were taken for dead. No decision changes.

--- a/apps/sapphirespand/CookieMetrics.cpp
+++ b/apps/sapphirespand/CookieMetrics.cpp
@@ -70,6 +70,32 @@
                 [](const ServiceLoad &load) { return admittedShare(load); });
 }
 
+/** Why open flows were reset, and what the findings about their upstreams rest on. */
+void appendFindings(std::ostringstream &text, const CookieCounters &counters, const ProbeCounters &probes)
+{
+    text << "# HELP sapphirespan_flow_resets_total Open flows reset, by reason.\n# TYPE sapphirespan_flow_resets_total counter\n";
+    for (const auto &fate :
+         {Fate {"upstream_dark", counters.resetUpstreamUnreachable}, Fate {"upstream_departed", counters.resetUpstreamDeparted},
+          Fate {"route_removed", counters.openFlowsResetNoRoute}}) {
+        append(text, "flow_resets_total", "reason", fate);
+    }
+    text << "# HELP sapphirespan_dark_contradicted_total Upstreams taken for dark at which a flow made progress.\n"
+            "# TYPE sapphirespan_dark_contradicted_total counter\nsapphirespan_dark_contradicted_total "
+         << counters.progressWhileUnreachable
+         << "\n# HELP sapphirespan_probe_results_total Connection attempts that ended, by what for and how.\n"
+            "# TYPE sapphirespan_probe_results_total counter\n";
+    const auto appendProbes = [&text](std::size_t purpose, std::string_view result, std::uint64_t count) {
+        text << "sapphirespan_probe_results_total{purpose=\"" << nameOf(static_cast<ProbePurpose>(purpose)) << "\",result=\"" << result
+             << "\"} " << count << '\n';
+    };
+    for (std::size_t purpose = 0; purpose < probes.ended.size(); ++purpose) {
+        for (std::size_t result = 0; result < probes.ended[purpose].size(); ++result) {
+            appendProbes(purpose, nameOf(static_cast<ProbeResult>(result)), probes.ended[purpose][result]);
+        }
+        appendProbes(purpose, "not_made", probes.notMade[purpose]);
+    }
+}
+
 void appendKnowledge(std::ostringstream &text, const CookieCounters &accounts)
 {
     text << "# HELP sapphirespan_knowledge_loads_total Starts by who told routes and upstreams.\n"
@@ -91,6 +117,7 @@
     appendPackets(text, instance.counters());
     appendUpstreams(text, state.upstreams);
     appendServiceLoads(text, state.serviceLoads, state.now);
+    appendFindings(text, instance.counters(), state.probeCounters);
     appendKnowledge(text, instance.counters());
     const auto age = std::chrono::duration<double>(storeDataAge(state)).count();
     text << "# HELP sapphirespan_knowledge_age_seconds Time since the store confirmed what is known.\n"
--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -117,12 +117,14 @@
 
 void CookieInstance::probeEnded(const ProbeRequest &request, ProbeResult result)
 {
+    ++m_state->probeCounters.ended[static_cast<std::size_t>(request.purpose)][static_cast<std::size_t>(result)];
     handleProbeResult(*m_state, request, result);
     reportNewVerdict(*m_state);
 }
 
 void CookieInstance::probeNotMade(const ProbeRequest &request)
 {
+    ++m_state->probeCounters.notMade[static_cast<std::size_t>(request.purpose)];
     handleProbeNotMade(*m_state, request);
 }
 
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -39,10 +39,12 @@
     std::uint64_t flowsPlaced = 0; ///< new flows assigned to an upstream
     std::uint64_t flowsMoved = 0; ///< unanswered opening packets reassigned to another upstream
     std::uint64_t resetNoRoute = 0;
+    std::uint64_t openFlowsResetNoRoute = 0; ///< those of resetNoRoute that concerned open flows
     std::uint64_t resetNoUpstream = 0;
     std::uint64_t resetOverload = 0; ///< new flows rejected because their service is overloaded
     std::uint64_t resetUpstreamUnreachable = 0; ///< open flows reset because their upstream is unreachable
     std::uint64_t resetUpstreamDeparted = 0; ///< open flows reset because their upstream has departed
+    std::uint64_t progressWhileUnreachable = 0; ///< flows that progressed at an upstream that was taken for unreachable
     std::uint64_t droppedMalformed = 0;
     std::uint64_t droppedUnknownCookie = 0;
     std::uint64_t droppedNoRoute = 0; ///< routes may be out of date, or the initial load took too long
@@ -140,6 +142,12 @@
     ProbePurpose purpose = ProbePurpose::upstream;
 };
 
+/** Number of probes that ended, by purpose. */
+struct ProbeCounters {
+    std::array<std::array<std::uint64_t, enumCount<ProbeResult>>, enumCount<ProbePurpose>> ended {}; ///< by result
+    std::array<std::uint64_t, enumCount<ProbePurpose>> notMade {}; ///< the attempt failed on the side of this instance
+};
+
 /** Selects the data that a snapshot from a peer contains. */
 struct SnapshotScope {
     std::uint64_t routesNewerThan = 0; ///< routes are sent only if their revision is higher
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -114,6 +114,7 @@
 
     std::mt19937_64 random;
     CookieCounters counters;
+    ProbeCounters probeCounters;
 };
 
 /** Emits an event about a flow. @param upstream the cookie of its upstream, or 0 if there is none */
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -1,5 +1,6 @@
 #include "sapphirespan_cookie/systems/CookieJudgeSystem.h"
 
+#include "sapphirespan_cookie/evidence/SuspicionText.h"
 #include "sapphirespan_cookie/systems/CookieAdmissionSystem.h"
 #include "sapphirespan_cookie/systems/CookieDataCentreSystem.h"
 #include "sapphirespan_cookie/systems/CookiePacketSystem.h"
@@ -42,7 +43,8 @@
     const auto previousState = evidence.state;
     const bool wasAvoided = isAvoided(evidence, state.now);
     if (noteProbeResult(evidence, result, state.now, uniformRandom(state))) {
-        announce(state, CookieEventKind::upstreamUnreachable, row.cookie, nameOf(result));
+        announce(state, CookieEventKind::upstreamUnreachable, row.cookie,
+                 std::string(nameOf(result)) + "; " + suspicionText(evidence, state.now));
     }
     if (evidence.state == Reachability::unreachable) {
         resetFlowsToUnreachableUpstreams(state);
@@ -78,7 +80,7 @@
     for (const auto cookie : state.upstreamsToEvaluate) {
         auto &row = *state.upstreams.find(cookie);
         if (updateReachability(row.evidence, state.now)) {
-            announce(state, CookieEventKind::upstreamSuspect, cookie, "flows retransmit without progress, or a peer found it unreachable");
+            announce(state, CookieEventKind::upstreamSuspect, cookie, suspicionText(row.evidence, state.now));
         }
         if (!row.evidence.areFlowsReset && mayResetFlows(state, row)) {
             row.evidence.areFlowsReset = true;
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -72,6 +72,7 @@
         rejectOpening(state, state.counters.resetNoRoute, packet, "no route");
     } else if (!packet.isReset) {
         ++state.counters.resetNoRoute;
+        ++state.counters.openFlowsResetNoRoute;
         announce(state, CookieEventKind::flowReset, packet.ends, packet.cookie, "the route was removed");
         sendReset(state, packet.ends, packet.acknowledged);
     }
@@ -181,6 +182,7 @@
     if (update.isProgress && noteProgress(row.evidence, state.now)) {
         announce(state, CookieEventKind::upstreamRecovered, row.cookie, "a flow made progress");
         if (wasUnreachable) {
+            ++state.counters.progressWhileUnreachable;
             recordOwnVerdict(state, {row.cookie, {}}, ProbeResult::connected);
         }
     }
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
@@ -1,5 +1,6 @@
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
+#include "sapphirespan_cookie/evidence/SuspicionText.h"
 #include "sapphirespan_cookie/systems/CookieDataCentreSystem.h"
 #include "sapphirespan_cookie/systems/CookiePacketSystem.h"
 
@@ -37,7 +38,8 @@
     } else if (witnesses >= unreachableQuorum) {
         if (markUnreachableWithoutProbe(row.evidence, verdict.result, verdict.foundAt, state.now)) {
             state.upstreamsToEvaluate.insert(row.cookie);
-            announce(state, CookieEventKind::upstreamUnreachable, row.cookie, "several peers found it so");
+            announce(state, CookieEventKind::upstreamUnreachable, row.cookie,
+                     "several peers found it so; " + suspicionText(row.evidence, state.now));
             resetFlowsToUnreachableUpstreams(state);
         }
     } else if (hasFlows(row)) {
