Log failed connection attempts with their error, duration and history

The line probe_failed has the address, the purpose, the result, the system's error, the microseconds that the attempt took, and when this instance last saw the same port of the same start accept or refuse one. Two lines a second of each purpose; those left out are counted in lines_left_out. Refusals get a line only where the question was whether the upstream accepts connections.

probe_not_made reads the error of its own attempt rather than the latest one, so ConnectionProber::lastFailure() is gone; the test that used it now expects EMFILE.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -44,6 +44,7 @@
 
 constexpr const char *snapshotPath = "/knowledge";
 constexpr const char *metricsPath = "/metrics";
+constexpr const char *probeFailedEvent = "probe_failed";
 
 /** Lines a second for each kind of decision on flows; a line costs about as much processor time as ten packets. */
 constexpr std::uint32_t flowLinesPerSecond = 5;
@@ -190,6 +191,7 @@
     m_handles.push_back(m_loop.every(reloadPeriod, [this] {
         reload(false);
         logLeftOut();
+        m_probeLog.forgetUnknown(m_instance.state().upstreams.rows());
     }));
 }
 
@@ -241,12 +243,12 @@
     m_peer->send(m_reports);
     m_instance.outbox().clear();
     for (const auto &request : m_instance.takeProbeRequests()) {
-        m_prober.probe(request.address, probeDeadline, [this, request](ConnectionOutcome outcome) {
+        m_prober.probe(request.address, probeDeadline, [this, request](const ConnectionResult &attempt) {
+            logProbe(request, attempt);
             m_instance.beginBatch();
-            if (const auto result = resultOf(outcome)) {
+            if (const auto result = resultOf(attempt.outcome)) {
                 m_instance.probeEnded(request, *result);
             } else {
-                reportProbeNotMade(request);
                 m_instance.probeNotMade(request);
             }
             carryOut();
@@ -258,15 +260,31 @@
     m_source->setActive(m_instance.shouldQueryStore(), m_instance.storeRevisions());
 }
 
-/** Logs at most one attempt per period: while descriptors are short, each upstream in doubt is due again at every tick. */
-void CookieDaemon::reportProbeNotMade(const ProbeRequest &request)
+/** Logs at most one attempt per period that could not be made: while descriptors are short, each upstream in doubt is due again at
+    every tick. */
+void CookieDaemon::logProbe(const ProbeRequest &request, const ConnectionResult &result)
 {
-    if (const auto now = m_clock.steadyNow(); now >= m_nextProbeWarningAt) {
+    const auto now = m_clock.steadyNow();
+    if (auto members = m_probeLog.record(request, result, m_log.level() != "debug", now)) {
+        (*members)["upstream"] = textOf(request.cookie);
+        m_log.info(probeFailedEvent, *members);
+    }
+    if (result.outcome == ConnectionOutcome::notMade && now >= m_nextProbeWarningAt) {
         m_nextProbeWarningAt = now + probeWarningPeriod;
-        m_log.warning("probe_not_made", fields({{"upstream", request.address.toText()}, {"reason", m_prober.lastFailure()}}));
+        m_log.warning("probe_not_made",
+                      fields({{"upstream", request.address.toText()},
+                              {"purpose", std::string(nameOf(request.purpose))},
+                              {"reason", result.errorText()}}));
     }
 }
 
+std::string CookieDaemon::textOf(FlowCookie upstream) const
+{
+    const auto &rows = m_instance.state().upstreams.rows();
+    const auto row = rows.find(upstream);
+    return row != rows.end() ? upstreamText(row->second) : std::to_string(upstream);
+}
+
 void CookieDaemon::fetchSnapshot(const SnapshotRequest &request)
 {
     if (m_isFetching) {
@@ -318,7 +336,7 @@
     }
 }
 
-/** Says how many lines on decisions were left out. */
+/** Says how many lines on decisions and attempts were left out. */
 void CookieDaemon::logLeftOut()
 {
     const auto leftOut = m_flowBudget.takeLeftOut();
@@ -328,6 +346,9 @@
             members[std::string(nameOf(static_cast<CookieEventKind>(kind)))] = Json::UInt64(leftOut[kind]);
         }
     }
+    if (const auto probes = m_probeLog.takeLeftOut(); probes > 0) {
+        members[probeFailedEvent] = Json::UInt64(probes);
+    }
     if (!members.empty()) {
         m_log.info("lines_left_out", members);
     }
@@ -370,9 +391,8 @@
     if (event.flow) {
         members["flow"] = toText(*event.flow);
     }
-    if (const auto &rows = m_instance.state().upstreams.rows(); event.upstream != 0) {
-        const auto row = rows.find(event.upstream);
-        members["upstream"] = row != rows.end() ? upstreamText(row->second) : std::to_string(event.upstream);
+    if (event.upstream != 0) {
+        members["upstream"] = textOf(event.upstream);
     }
     members["detail"] = std::string(event.detail);
     m_log.info(std::string(nameOf(event.kind)), members);
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ProbeLog.h"
+
 #include "sapphirespan_config/sapphirespan_config.h"
 #include "sapphirespan_cookie/sapphirespan_cookie.h"
 #include "sapphirespan_net/sapphirespan_net.h"
@@ -34,7 +36,8 @@
     HttpResponse controlAnswer(const HttpRequest &request);
     HttpResponse snapshotAnswer(const HttpRequest &request);
     void carryOut();
-    void reportProbeNotMade(const ProbeRequest &request);
+    void logProbe(const ProbeRequest &request, const ConnectionResult &result);
+    std::string textOf(FlowCookie upstream) const;
     void fetchSnapshot(const SnapshotRequest &request);
     void tick();
     void checkLeaving();
@@ -48,6 +51,7 @@
     SystemClock m_clock;
     JsonLog m_log;
     LogBudget m_flowBudget;
+    ProbeLog m_probeLog;
     EventLoop m_loop;
     CookieInstance m_instance;
     std::unique_ptr<StoreDataSource> m_source;
--- a/modules/sapphirespan_net/probe/ConnectionProber.cpp
+++ b/modules/sapphirespan_net/probe/ConnectionProber.cpp
@@ -12,12 +12,38 @@
 
 namespace sapphirespan {
 
+namespace {
+
+/** @param error as in errno, of an attempt that failed */
+ConnectionOutcome outcomeOf(int error)
+{
+    switch (error) {
+    case ECONNREFUSED:
+    case ECONNRESET:
+        return ConnectionOutcome::refused;
+    case ETIMEDOUT:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+        return ConnectionOutcome::silent;
+    default:
+        return ConnectionOutcome::notMade;
+    }
+}
+
+} // namespace
+
+std::string ConnectionResult::errorText() const
+{
+    return error != 0 ? std::strerror(error) : "none";
+}
+
 struct ConnectionProber::Attempt {
     ConnectionProber *prober = nullptr;
     bufferevent *connection = nullptr;
     EventHandle deadline;
     EventHandle cleanup;
     Callback callback;
+    SteadyTime startedAt {};
     bool isOver = false;
 
     Attempt() = default;
@@ -43,14 +69,18 @@
     auto *attempt = m_attempts.emplace_back(std::make_unique<Attempt>()).get();
     attempt->prober = this;
     attempt->callback = std::move(callback);
-    attempt->deadline = m_loop.after(deadline, [this, attempt] { finish(attempt, outcomeNow(bufferevent_getfd(attempt->connection))); });
+    attempt->startedAt = m_clock.steadyNow();
+    attempt->deadline = m_loop.after(deadline, [this, attempt] { finishAtDeadline(attempt); });
     attempt->connection = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
         attempt->connection, nullptr, nullptr,
         [](bufferevent *, short what, void *context) {
             auto *mine = static_cast<Attempt *>(context);
-            const bool isConnected = (what & BEV_EVENT_CONNECTED) != 0;
-            mine->prober->finish(mine, isConnected ? ConnectionOutcome::connected : mine->prober->outcomeOf(EVUTIL_SOCKET_ERROR()));
+            if ((what & BEV_EVENT_CONNECTED) != 0) {
+                mine->prober->finish(mine, ConnectionOutcome::connected, 0);
+            } else {
+                mine->prober->fail(mine, EVUTIL_SOCKET_ERROR());
+            }
         },
         attempt);
     sockaddr_in address {};
@@ -58,53 +88,48 @@
     address.sin_port = htons(server.port);
     std::memcpy(&address.sin_addr, server.address.bytes.data(), IpAddress::sizeV4);
     if (bufferevent_socket_connect(attempt->connection, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
-        finish(attempt, outcomeOf(EVUTIL_SOCKET_ERROR()));
+        fail(attempt, EVUTIL_SOCKET_ERROR());
     }
 }
 
-/** @param error as in errno, of an attempt that failed */
-ConnectionOutcome ConnectionProber::outcomeOf(int error)
+void ConnectionProber::fail(Attempt *attempt, int error)
 {
-    switch (error) {
-    case ECONNREFUSED:
-    case ECONNRESET:
-        return ConnectionOutcome::refused;
-    case ETIMEDOUT:
-    case EHOSTUNREACH:
-    case ENETUNREACH:
-        return ConnectionOutcome::silent;
-    default:
-        m_lastFailure = std::strerror(error);
-        return ConnectionOutcome::notMade;
-    }
+    finish(attempt, outcomeOf(error), error);
 }
 
 /** At the deadline an answer may have come already that a late loop has not handled yet. */
-ConnectionOutcome ConnectionProber::outcomeNow(int descriptor)
+void ConnectionProber::finishAtDeadline(Attempt *attempt)
 {
+    const int descriptor = bufferevent_getfd(attempt->connection);
     pollfd state {descriptor, POLLOUT, 0};
     if (::poll(&state, 1, 0) <= 0) {
-        return ConnectionOutcome::silent;
+        finish(attempt, ConnectionOutcome::silent, 0);
+        return;
     }
     int error = 0;
     socklen_t length = sizeof error;
     ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
-    return error == 0 ? ConnectionOutcome::connected : outcomeOf(error);
+    if (error != 0) {
+        fail(attempt, error);
+    } else {
+        finish(attempt, ConnectionOutcome::connected, 0);
+    }
 }
 
 /** The connection must not be freed inside its own callback, so that happens from the loop. */
-void ConnectionProber::finish(Attempt *attempt, ConnectionOutcome outcome)
+void ConnectionProber::finish(Attempt *attempt, ConnectionOutcome outcome, int error)
 {
     if (attempt->isOver) {
         return;
     }
     attempt->isOver = true;
     attempt->deadline = {};
-    attempt->cleanup = m_loop.after(Milliseconds(0), [this, attempt, outcome] {
+    const ConnectionResult result {outcome, error, m_clock.steadyNow() - attempt->startedAt};
+    attempt->cleanup = m_loop.after(Milliseconds(0), [this, attempt, result] {
         const auto callback = std::move(attempt->callback);
         const auto owned = std::move(attempt->cleanup);
         m_attempts.remove_if([attempt](const auto &item) { return item.get() == attempt; });
-        callback(outcome);
+        callback(result);
     });
 }
 
--- a/modules/sapphirespan_net/probe/ConnectionProber.h
+++ b/modules/sapphirespan_net/probe/ConnectionProber.h
@@ -20,11 +20,21 @@
     static constexpr std::array<std::string_view, enumCount<ConnectionOutcome>> names {"connected", "refused", "silent", "not_made"};
 };
 
+/** What one connection attempt found. */
+struct ConnectionResult {
+    ConnectionOutcome outcome = ConnectionOutcome::notMade;
+    int error = 0; ///< as in errno; 0 if it connected, or if nothing came within the deadline
+    Microseconds duration {}; ///< from the call of probe() until this process learned the outcome
+
+    /** @returns the system's text for the error, or "none". */
+    std::string errorText() const;
+};
+
 /** Tries TCP connections and closes them at once. Thread safety: none. */
 class ConnectionProber
 {
 public:
-    using Callback = std::function<void(ConnectionOutcome outcome)>;
+    using Callback = std::function<void(const ConnectionResult &result)>;
 
     explicit ConnectionProber(EventLoop &loop);
 
@@ -36,22 +46,16 @@
     /** Starts an attempt; the callback comes from the loop. */
     void probe(const Endpoint &server, Milliseconds deadline, Callback callback);
 
-    /** @returns why the latest attempt that could not be made was not. */
-    const std::string &lastFailure() const
-    {
-        return m_lastFailure;
-    }
-
 private:
     struct Attempt;
 
-    void finish(Attempt *attempt, ConnectionOutcome outcome);
-    ConnectionOutcome outcomeOf(int error);
-    ConnectionOutcome outcomeNow(int descriptor);
+    void finish(Attempt *attempt, ConnectionOutcome outcome, int error);
+    void fail(Attempt *attempt, int error);
+    void finishAtDeadline(Attempt *attempt);
 
     EventLoop &m_loop;
     std::list<std::unique_ptr<Attempt>> m_attempts;
-    std::string m_lastFailure;
+    SystemClock m_clock;
 };
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_net/tests/NetTest.cpp
+++ b/modules/sapphirespan_net/tests/NetTest.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <cstring>
 #include <thread>
 
 using namespace sapphirespan;
@@ -227,15 +229,59 @@
     ::close(highest);
     const rlimit none {static_cast<rlim_t>(highest), limit.rlim_max};
     ::setrlimit(RLIMIT_NOFILE, &none);
-    std::optional<ConnectionOutcome> seen;
-    prober.probe({*IpAddress::parse("127.0.0.1"), 9}, 200ms, [&](ConnectionOutcome outcome) {
-        seen = outcome;
+    std::optional<ConnectionResult> seen;
+    prober.probe({*IpAddress::parse("127.0.0.1"), 9}, 200ms, [&](const ConnectionResult &result) {
+        seen = result;
         loop.stop();
     });
     loop.run();
     ::setrlimit(RLIMIT_NOFILE, &limit);
-    BOOST_TEST((seen == ConnectionOutcome::notMade));
-    BOOST_TEST(!prober.lastFailure().empty());
+    BOOST_REQUIRE(seen.has_value());
+    BOOST_TEST((seen->outcome == ConnectionOutcome::notMade));
+    BOOST_TEST(seen->error == EMFILE);
+    BOOST_TEST(!seen->errorText().empty());
+}
+
+/** Guards against log lines that cannot tell a port on which nothing listens from one whose queue of new connections is full. */
+BOOST_AUTO_TEST_CASE(anAttemptTellsItsErrorAndHowLongItTook)
+{
+    EventLoop loop;
+    ConnectionProber prober(loop);
+    const auto attempt = [&](std::uint16_t port) {
+        ConnectionResult seen;
+        prober.probe({*IpAddress::parse("127.0.0.1"), port}, 100ms, [&](const ConnectionResult &result) {
+            seen = result;
+            loop.stop();
+        });
+        loop.run();
+        return seen;
+    };
+    const int server = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    BOOST_REQUIRE(::bind(server, reinterpret_cast<const sockaddr *>(&address), length) == 0);
+    BOOST_REQUIRE(::getsockname(server, reinterpret_cast<sockaddr *>(&address), &length) == 0);
+    const auto port = ntohs(address.sin_port);
+
+    const auto refused = attempt(port);
+    BOOST_TEST((refused.outcome == ConnectionOutcome::refused));
+    BOOST_TEST(refused.error == ECONNREFUSED);
+    BOOST_TEST(refused.errorText() == std::strerror(ECONNREFUSED));
+    BOOST_TEST((refused.duration < 100ms));
+
+    BOOST_REQUIRE(::listen(server, 0) == 0); // room for one connection
+    const auto connected = attempt(port);
+    BOOST_TEST((connected.outcome == ConnectionOutcome::connected));
+    BOOST_TEST(connected.error == 0);
+
+    const auto silent = attempt(port);
+    BOOST_TEST((silent.outcome == ConnectionOutcome::silent));
+    BOOST_TEST(silent.error == 0);
+    BOOST_TEST(silent.errorText() == "none");
+    BOOST_TEST((silent.duration >= 100ms));
+    ::close(server);
 }
 
 /** A request whose values are nested too deeply for the parser ended the process. */
