Show resets of open flows by what a TCP port does, on real processes

The logs of broken flows now include all that the instances said about the upstream, for the soak as well.

--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -159,10 +159,13 @@
 
     async def start(self):
         self.socket = await udp(self.address, self.received)
-        self.listener = await asyncio.start_server(lambda reader, writer: writer.close(), *self.address)
+        await self.listen()
         self.alive = True
         await self.announce()
 
+    async def listen(self):
+        self.listener = await asyncio.start_server(lambda reader, writer: writer.close(), *self.address)
+
     async def announce(self, state="ready", is_again=False):
         self.state = state
         if state == "draining" and not is_again:
@@ -219,14 +222,20 @@
             return
         if got.data and got.seq == flow["next"]:
             flow["next"] += len(got.data)
-            flow["answer"] = b"done " + got.data
-            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+            self.begin_work(key, flow, got)
         elif got.data and flow["answer"]:
             self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
         elif not got.data and flow["answer"] and got.ack == (flow["sent"] + len(flow["answer"])) & 0xFFFFFFFF:
             flow["sent"] += len(flow["answer"])
             flow["answer"] = None
 
+    def begin_work(self, key, flow, got):
+        self.answer(key, flow, got)
+
+    def answer(self, key, flow, got):
+        flow["answer"] = b"done " + got.data
+        self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+
     def send(self, key, flags, seq, ack, echo, data=b""):
         source, target = key
         self.socket.sendto(packet(flags, seq, ack, target, source, echo, data, UPSTREAM_SUM), (source[0], self.stage.ingress))
@@ -324,15 +333,21 @@
 class CookieStage:
     """One running system with cookie steering."""
 
-    def __init__(self, build, zones=("dc-1", "dc-2"), instances_per_zone=2, clients_per_zone=8, network=77, earlier_build=None):
-        """@param earlier_build each second instance of a zone starts from this build at first, and all by turns when they are started again"""
+    upstream_type, client_type = Upstream, Client
+    readiness_period = 0.25
+    start_pause = 0.0  # between the starts of two instances
+
+    def __init__(self, build, zones=("dc-1", "dc-2"), instances_per_zone=2, clients_per_zone=8, network=77, earlier_build=None,
+                 instance_count=None):
+        """@param earlier_build each second instance of a zone starts from this build at first, and all by turns when they are started again
+        @param instance_count number of instances of all zones, if not the same in each"""
         self.builds = [earlier_build or build, build]
         self.folder = tempfile.TemporaryDirectory(prefix="sapphirespan-")
         self.ingress, self.peer, self.control, self.readiness, self.store_port = (network * 100 + n for n in (1, 2, 3, 4, 5))
         self.network, self.zones, self.clients_per_zone = network, zones, clients_per_zone
         self.instances = [{"name": f"entry-{zones[n % len(zones)]}-{n // len(zones) + 1}", "ip": f"127.{network}.0.{n + 1}",
                            "zone": zones[n % len(zones)], "process": None, "ready": False, "starts": n // len(zones)}
-                          for n in range(len(zones) * instances_per_zone)]
+                          for n in range(instance_count or len(zones) * instances_per_zone)]
         self.upstreams, self.next_ident = [], 0x1001
         self.asked = self.served = self.wrong = self.broken = self.misdelivered = self.late_openings = 0
         self.broken_flows = []
@@ -349,14 +364,20 @@
 
     def note_broken(self, client, port, holder):
         self.broken += 1
-        self.broken_flows.append(f"{client.ip}:{port}")
+        self.broken_flows.append((f"{client.ip}:{port}", f"{holder.ident:x}"))
         print(f"broken flow: {client.ip}:{port}, held by upstream {holder.ident:x} of {holder.service} in {holder.zone}")
 
-    def print_logs_of_broken_flows(self):
-        for instance in self.instances:
+    def print_logs_of_broken_flows(self, most=None):
+        """Prints what the instances logged about broken flows and their upstreams.
+        @param most number of broken flows from the first on; all of them if left out"""
+        broken = self.broken_flows[:most]
+        flows = {f'"{flow} ' for flow, _ in broken}
+        upstreams = {f'"{ident}@' for _, ident in broken}
+        for instance in self.instances if broken else []:
             with open(os.path.join(self.folder.name, instance["name"] + ".log")) as file:
                 for line in file:
-                    if any(flow in line for flow in self.broken_flows) or (self.broken_flows and '_dark"' in line):
+                    is_about_upstream = '"flow":' not in line and any(upstream in line for upstream in upstreams)
+                    if is_about_upstream or '_dark"' in line and most is None or any(flow in line for flow in flows):
                         print(f"log {instance['name']} (start {instance['starts']}): {line.strip()}")
 
     def instance_for(self, zone, client):
@@ -397,14 +418,14 @@
                 is_ready = await self.is_ready(instance)
                 misses = 0 if is_ready else misses + 1
                 instance["ready"] = is_ready or (instance["ready"] and misses < 2)
-                await asyncio.sleep(0.25)
+                await asyncio.sleep(self.readiness_period)
 
         await asyncio.gather(*(check(instance) for instance in self.instances))
 
     async def add_upstream(self, service, zone):
         ident = self.next_ident
         self.next_ident += 1
-        upstream = Upstream(self, ident, (f"127.{self.network}.2.{ident & 0xFF}", 8080), service, zone)
+        upstream = self.upstream_type(self, ident, (f"127.{self.network}.2.{ident & 0xFF}", 8080), service, zone)
         self.upstreams.append(upstream)
         await upstream.start()
         return upstream
@@ -433,25 +454,29 @@
                 stale.append(instance["name"])
         return stale
 
-    async def start(self):
-        self.store = Store()
-        for zone in self.zones:
-            await self.store.start((self.store_ip(zone), self.store_port))
+    async def add_upstreams(self):
         for service in SERVICES:
             for zone in self.zones:
                 for _ in range(2):
                     await self.add_upstream(service, zone)
+
+    async def start(self):
+        self.store = Store()
+        for zone in self.zones:
+            await self.store.start((self.store_ip(zone), self.store_port))
+        await self.add_upstreams()
         await self.configure(3)
         self.store.copies = self.store.copies[-1:]
         for instance in self.instances:
             self.start_instance(instance)
+            await asyncio.sleep(self.start_pause)
         self.tasks = [asyncio.create_task(self.watch_readiness())]
         while not all(instance["ready"] for instance in self.instances):
             await asyncio.sleep(0.05)
         names = list(SERVICES)
         for zone_index, zone in enumerate(self.zones):
             for index in range(self.clients_per_zone):
-                client = Client(self, f"127.{self.network}.{10 + zone_index}.{index + 1}", zone, names[index % len(names)])
+                client = self.client_type(self, f"127.{self.network}.{10 + zone_index}.{index + 1}", zone, names[index % len(names)])
                 await client.start()
                 self.tasks.append(asyncio.create_task(client.run()))
 
