--- a/standins/harness/cookie_flows_test.py
+++ b/standins/harness/cookie_flows_test.py
@@ -106,13 +106,15 @@
     def print_event_counts(self):
         """Counts what the instances logged on reachability, by event and reason. They leave out lines of events that come too often."""
         counts = collections.Counter()
-        for _, line in self.log_lines():
+        for instance, line in self.log_lines():
+            build = self.builds[instance["starts"] % 2]
+            side = "" if self.builds[0] == self.builds[1] else ", earlier build" if build == self.builds[0] else ", this build"
             entry = json.loads(line) if line.startswith("{") else {"event": "no JSON", "detail": line}
             event = entry.get("event", "")
             if event.startswith(REACHABILITY_EVENTS):
-                counts[event, entry.get("detail") or entry.get("reason") or ""] += 1
+                counts[event, (entry.get("detail") or entry.get("reason") or "") + side] += 1
             elif event == "lines_left_out":
-                counts["flow_reset", "(left out)"] += entry.get("flow_reset", 0)
+                counts["flow_reset", "(left out)" + side] += entry.get("flow_reset", 0)
         for (event, reason), count in sorted(counts.items()):
             if count:
                 print(f"logged {count} times: {event} {reason}")
