--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -213,6 +213,25 @@
 }
 
 /** Carries out what an instance's decisions want. */
+/** @returns what becomes of a connection attempt, and counts it for the upstream that it asks. */
+ProbeResult CookieFleetModel::answerTo(const ModelInstance &instance, const ProbeRequest &request)
+{
+    const auto resultOfCut = doCutsRefuse ? ProbeResult::refused : ProbeResult::silent;
+    auto *upstream = upstreamAt(request.address);
+    if (upstream == nullptr) {
+        return ProbeResult::silent;
+    }
+    const bool isAcrossCut = isCut(instance.dataCentre, upstream->entry.dataCentre);
+    const bool isSilent = upstream->isDark || upstream->isProbeSilent || instance.hasSlowLink || isAcrossCut;
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(clock.elapsed()).count();
+    ++upstream->attempts[second];
+    upstream->reached[second] += isSilent ? 0 : 1;
+    if (isSilent) {
+        return isAcrossCut ? resultOfCut : ProbeResult::silent;
+    }
+    return upstream->isListening && !upstream->isProbeRefused ? ProbeResult::connected : ProbeResult::refused;
+}
+
 void CookieFleetModel::carryOut(std::size_t index)
 {
     auto &instance = instances[index];
@@ -243,16 +262,8 @@
     }
     instance.decisions->outbox().clear();
     for (const auto &request : instance.decisions->takeProbeRequests()) {
-        auto *upstream = upstreamAt(request.address);
-        const bool isSilent = upstream == nullptr || upstream->isDark || upstream->isProbeSilent || instance.hasSlowLink
-            || isCut(instance.dataCentre, upstream->entry.dataCentre);
-        if (const auto second = std::chrono::duration_cast<std::chrono::seconds>(clock.elapsed()).count(); upstream != nullptr) {
-            ++upstream->attempts[second];
-            upstream->reached[second] += isSilent ? 0 : 1;
-        }
-        const auto result = isSilent ? ProbeResult::silent
-                                     : (upstream->isListening && !upstream->isProbeRefused ? ProbeResult::connected : ProbeResult::refused);
-        after(isSilent ? 60ms : 2 * outsideDelay, [this, index, request, result] {
+        const auto result = answerTo(instance, request);
+        after(result == ProbeResult::silent ? 60ms : 2 * outsideDelay, [this, index, request, result] {
             if (instances[index].isRunning) {
                 instances[index].decisions->beginBatch();
                 instances[index].decisions->probeEnded(request, result);
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -96,10 +96,12 @@
     bool isDark = false; ///< answers nothing at all
     bool isProbeSilent = false; ///< its queue of new connections is full, though it serves flows
     bool isProbeRefused = false; ///< nothing listens for connections, though it serves flows
+    bool isReading = true; ///< else what arrives waits until readAll()
     double slowness = 1;
     int running = 0;
     std::map<FlowEnds, bool> flows; ///< to whether a request is being worked on
     std::deque<std::function<void()>> waiting;
+    std::vector<std::function<void()>> unread; ///< packets that arrived while it did not read
     std::optional<SteadyTime> drainingSince;
     std::map<std::int64_t, int> attempts; ///< connections that instances tried, by second of the clock
     std::map<std::int64_t, int> reached; ///< those of them that came through to it
@@ -196,6 +198,10 @@
     std::size_t addUpstream(const std::string &dataCentre, const std::string &service);
     std::size_t addUpstreamAt(const std::string &dataCentre, const std::string &service, const Ipv4Endpoint &address);
 
+    /** Lets an upstream read nothing until readAll(); its host answers connection attempts as before. */
+    void stopReading(std::size_t upstream);
+    void readAll(std::size_t upstream);
+
     /** Lets an instance stand still; what comes to its sockets meanwhile waits. */
     void freezeInstance(std::size_t index);
     void thawInstance(std::size_t index);
@@ -211,6 +217,7 @@
     std::deque<ModelUpstream> upstreams;
     std::vector<Route> routes;
     IsCut isCut; ///< between instances, and from instances to upstreams
+    bool doCutsRefuse = false; ///< connection attempts across a cut are refused; else they are left unanswered
     bool isStoreAway = false;
     ManualClock clock;
 
@@ -238,6 +245,8 @@
     void toUpstream(const std::string &fromDataCentre, const Endpoint &to, UpstreamId id, const ClientPacket &packet);
     void serve(ModelUpstream &upstream, const FlowEnds &ends, Milliseconds work);
     void finishOne(ModelUpstream &upstream);
+    void takePacket(ModelUpstream &upstream, UpstreamId id, const ClientPacket &packet);
+    ProbeResult answerTo(const ModelInstance &instance, const ProbeRequest &request);
     void toClient(const FlowEnds &ends, std::function<void(User &)> action);
     void arriveForever(std::size_t dataCentre);
     void arrive(std::size_t dataCentre);
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModelUpstreams.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModelUpstreams.cpp
@@ -23,40 +23,62 @@
         return;
     }
     after(fromDataCentre == upstream->entry.dataCentre ? insideDelay : outsideDelay, [this, upstream, id, packet] {
-        const auto &ends = packet.ends;
-        if (upstream->isDark || upstream->entry.id != id) {
-            m_counts.misdelivered += upstream->entry.id != id ? 1 : 0; // not taken: the header names another
-            return;
+        if (upstream->isReading) {
+            takePacket(*upstream, id, packet);
+        } else {
+            upstream->unread.push_back([this, upstream, id, packet] { takePacket(*upstream, id, packet); });
         }
-        const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.address == ends.service; });
-        const bool isOther = route == routes.end() || route->services.front().service != upstream->entry.service;
-        m_counts.takenByOthers += isOther && !upstream->flows.contains(ends) ? 1 : 0;
-        if (!upstream->isListening || (!packet.isOpening && !upstream->flows.contains(ends))) {
-            toClient(ends, [this](User &user) { clientReset(user, false); });
-            return;
-        }
-        if (packet.isOpening) {
-            m_counts.misdelivered += isOther ? 1 : 0;
-            const bool isLate = upstream->drainingSince && clock.steadyNow() - *upstream->drainingSince > drainBound;
-            m_counts.placedOnDraining += isLate && !upstream->flows.contains(ends) ? 1 : 0;
-            m_counts.openings += upstream->flows.emplace(ends, false).second ? 1 : 0;
-            toClient(ends, [this, cookie = packet.cookie](User &user) {
-                if (!user.isOpen) {
-                    user.isOpen = true;
-                    user.cookie = cookie;
-                    user.acknowledged = 1;
-                    sendData(user, 0);
-                }
-            });
-        } else if (packet.payloadBytes > 0 && !upstream->flows[ends]) {
-            upstream->flows[ends] = true;
-            const auto owner = m_flowOwners.find(ends.client);
-            if (owner != m_flowOwners.end()) {
-                const auto mean = static_cast<std::uint64_t>(owner->second->kind->work.count());
-                serve(*upstream, ends, Milliseconds(mean / 2 + draw(mean + 1)));
+    });
+}
+
+void CookieFleetModel::stopReading(std::size_t index)
+{
+    upstreams[index].isReading = false;
+}
+
+void CookieFleetModel::readAll(std::size_t index)
+{
+    upstreams[index].isReading = true;
+    for (const auto &take : std::exchange(upstreams[index].unread, {})) {
+        take();
+    }
+}
+
+void CookieFleetModel::takePacket(ModelUpstream &upstream, UpstreamId id, const ClientPacket &packet)
+{
+    const auto &ends = packet.ends;
+    if (upstream.isDark || upstream.entry.id != id) {
+        m_counts.misdelivered += upstream.entry.id != id ? 1 : 0; // not taken: the header names another
+        return;
+    }
+    const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.address == ends.service; });
+    const bool isOther = route == routes.end() || route->services.front().service != upstream.entry.service;
+    m_counts.takenByOthers += isOther && !upstream.flows.contains(ends) ? 1 : 0;
+    if (!upstream.isListening || (!packet.isOpening && !upstream.flows.contains(ends))) {
+        toClient(ends, [this](User &user) { clientReset(user, false); });
+        return;
+    }
+    if (packet.isOpening) {
+        m_counts.misdelivered += isOther ? 1 : 0;
+        const bool isLate = upstream.drainingSince && clock.steadyNow() - *upstream.drainingSince > drainBound;
+        m_counts.placedOnDraining += isLate && !upstream.flows.contains(ends) ? 1 : 0;
+        m_counts.openings += upstream.flows.emplace(ends, false).second ? 1 : 0;
+        toClient(ends, [this, cookie = packet.cookie](User &user) {
+            if (!user.isOpen) {
+                user.isOpen = true;
+                user.cookie = cookie;
+                user.acknowledged = 1;
+                sendData(user, 0);
             }
+        });
+    } else if (packet.payloadBytes > 0 && !upstream.flows[ends]) {
+        upstream.flows[ends] = true;
+        const auto owner = m_flowOwners.find(ends.client);
+        if (owner != m_flowOwners.end()) {
+            const auto mean = static_cast<std::uint64_t>(owner->second->kind->work.count());
+            serve(upstream, ends, Milliseconds(mean / 2 + draw(mean + 1)));
         }
-    });
+    }
 }
 
 void CookieFleetModel::serve(ModelUpstream &upstream, const FlowEnds &ends, Milliseconds work)
