--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -64,6 +64,7 @@
     result.isSeed = settings.isSeed;
     result.isInitialFleetStart = settings.isFirstStart;
     result.flowLifetime = settings.flowLifetime;
+    result.hostProbePort = settings.hostProbePort;
     result.admission = settings.admission;
     result.randomSeed = std::random_device()();
     return result;
--- a/modules/sapphirespan_config/settings/CookieSettings.cpp
+++ b/modules/sapphirespan_config/settings/CookieSettings.cpp
@@ -43,6 +43,8 @@
     settings.isFirstStart = settingsFlag(reader, root, "first_start");
     settings.logLevel = settingsLogLevel(reader, root);
     settings.flowLifetime = reader.duration(root, "flow_lifetime", settings.flowLifetime, 1s, 24h);
+    constexpr std::uint16_t highestPort = 65535;
+    settings.hostProbePort = static_cast<std::uint16_t>(reader.number(root, "host_probe_port", settings.hostProbePort, 1, highestPort));
     if (root["admission"].IsDefined()) {
         parseAdmission(reader, root["admission"], settings.admission);
     }
@@ -70,7 +72,7 @@
     if (root
         && reader.checkKeys(*root,
                             {"steering", "instance", "data_centre", "listen", "platform", "seeds", "first_start", "log_level",
-                             "flow_lifetime", "leave_limit", "admission"})) {
+                             "flow_lifetime", "leave_limit", "admission", "host_probe_port"})) {
         const YAML::Node constant = *root;
         parseRoot(reader, constant, settings);
     }
--- a/modules/sapphirespan_config/settings/CookieSettings.h
+++ b/modules/sapphirespan_config/settings/CookieSettings.h
@@ -22,6 +22,7 @@
     std::string logLevel = "info";
     Milliseconds flowLifetime {60000}; ///< after which a flow may be forgotten
     Milliseconds leaveLimit {6000}; ///< after which a leaving instance is ended from outside
+    std::uint16_t hostProbePort = 9; ///< TCP port at which hosts of upstreams are probed; nothing needs to listen there
     AdmissionSettings admission; ///< policies under load
 
     bool operator==(const CookieSettings &) const = default;
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -6,13 +6,10 @@
 
 namespace {
 
-/** Minimum interval between two probes of an upstream, so that one burst of loss does not hit both. An answer usually
-    arrives earlier and makes the second unnecessary. */
+/** Minimum interval between a probe of an upstream's port and one of its host, so that one burst of loss does not hit both. An answer
+    usually arrives earlier and makes the second unnecessary. */
 constexpr Milliseconds minProbeInterval {40};
 
-/** Maximum number of probes in flight; the second does not wait for the result of the first. */
-constexpr int maxPendingProbes = 2;
-
 /** Progress within this time before the end of a peer's silent probe outweighs it, since the peer may be cut off itself. */
 constexpr Milliseconds recentProgressWindow {200};
 
@@ -50,19 +47,47 @@
     evidence.unansweredOpeningSince.reset();
     evidence.isUnreachableWithoutProbe = false;
     evidence.isReportedUnreachable = false;
+    evidence.isReportedHostSilent = false;
     evidence.isAvoidedWithDataCentre = false;
     evidence.avoidedUntil = {};
     evidence.peerVerdictCheckAt.reset();
 }
 
+void noteHostAnswer(UpstreamEvidence &evidence, SteadyTime now)
+{
+    evidence.lastHostAnswerAt = now;
+    evidence.lastHostSilenceAt.reset();
+}
+
+/** @returns the minimum time between two probes of the upstream's host: exponential backoff while they are inconclusive. */
+Milliseconds hostProbeInterval(const UpstreamEvidence &evidence)
+{
+    return std::min(minProbeInterval * (1 << evidence.inconclusiveHostProbes), maxRetryBackoff);
+}
+
+bool isSince(const std::optional<SteadyTime> &time, SteadyTime since)
+{
+    return time && *time >= since;
+}
+
+/** Makes a suspect upstream unreachable if enough probes of its port and its host have failed. @returns whether it became so */
+bool checkFailures(UpstreamEvidence &evidence, bool isRefused, SteadyTime now, double jitter)
+{
+    const int failures = evidence.consecutiveFailedProbes + (isSince(evidence.lastHostSilenceAt, evidence.stateSince) ? 1 : 0);
+    const int requiredFailures = evidence.stalledFlows >= minStallsToTrustOneProbe || evidence.isReportedUnreachable ? 1 : 2;
+    if (evidence.state != Reachability::suspect || (!isRefused && failures < requiredFailures)) {
+        return false;
+    }
+    setState(evidence, Reachability::unreachable, now);
+    scheduleRetry(evidence, now, jitter);
+    return true;
+}
+
 } // namespace
 
 bool noteProgress(UpstreamEvidence &evidence, SteadyTime now)
 {
     const bool hasRecovered = evidence.state != Reachability::reachable;
-    const bool isRefusing = evidence.state == Reachability::unreachable && now - evidence.lastFailureAt < failureValidity
-        && (!evidence.lastSilenceAt || evidence.lastFailureAt > *evidence.lastSilenceAt);
-    evidence.hasServedDespiteRefusal = evidence.hasServedDespiteRefusal || isRefusing;
     resetToReachable(evidence, now);
     evidence.retryBackoffExponent = 0;
     evidence.answeredProbesWithoutProgress = 0;
@@ -111,6 +136,9 @@
 bool noteProbeResult(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now, double jitter)
 {
     evidence.pendingProbes = static_cast<std::uint8_t>(std::max(evidence.pendingProbes - 1, 0));
+    if (result != ProbeResult::silent) {
+        noteHostAnswer(evidence, now);
+    }
     if (result == ProbeResult::connected) {
         resetToReachable(evidence, now);
         evidence.lastProgressAt = now;
@@ -122,22 +150,49 @@
     if (evidence.state == Reachability::reachable) {
         return false; // progress was seen while the probe was in flight
     }
-    ++evidence.consecutiveFailedProbes;
-    const int requiredFailures = evidence.stalledFlows >= minStallsToTrustOneProbe || evidence.isReportedUnreachable ? 1 : 2;
-    if (evidence.state == Reachability::suspect && result != ProbeResult::refused && evidence.consecutiveFailedProbes < requiredFailures) {
-        return false;
-    }
-    const bool becameUnreachable = evidence.state != Reachability::unreachable;
-    if (result == ProbeResult::silent) {
-        evidence.lastSilenceAt = now;
-    }
+    evidence.consecutiveFailedProbes = static_cast<std::uint8_t>(std::min(evidence.consecutiveFailedProbes + 1, 8));
     if (evidence.isUnreachableWithoutProbe) {
         extendUnreachablePeriod(evidence, now); // the peers go on deciding when it is back
+    } else if (evidence.state == Reachability::unreachable) {
+        scheduleRetry(evidence, now, jitter);
+    }
+    return checkFailures(evidence, result == ProbeResult::refused, now, jitter);
+}
+
+bool noteHostProbeResult(UpstreamEvidence &evidence, ProbeResult result, SteadyTime startedAt, SteadyTime now, double jitter)
+{
+    evidence.isHostProbePending = false;
+    evidence.inconclusiveHostProbes = 0;
+    if (result != ProbeResult::silent) {
+        noteHostAnswer(evidence, now);
+        evidence.isHostSilenceRefuted = false;
         return false;
     }
-    setState(evidence, Reachability::unreachable, now);
-    scheduleRetry(evidence, now, jitter);
-    return becameUnreachable;
+    const bool isContradicted = evidence.lastProgressAt >= startedAt || isSince(evidence.lastHostAnswerAt, startedAt);
+    if (evidence.state == Reachability::reachable || isContradicted) {
+        return false;
+    }
+    evidence.lastHostSilenceAt = now;
+    evidence.lastFailureAt = std::max(evidence.lastFailureAt, now);
+    return checkFailures(evidence, false, now, jitter);
+}
+
+void noteInconclusiveHostProbe(UpstreamEvidence &evidence)
+{
+    evidence.isHostProbePending = false;
+    evidence.inconclusiveHostProbes = static_cast<std::uint8_t>(std::min(evidence.inconclusiveHostProbes + 1, 8));
+}
+
+bool isHostKnownUp(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    return isSince(evidence.lastHostAnswerAt, now - failureValidity) && !evidence.lastHostSilenceAt;
+}
+
+void noteHostSilenceAtPeers(UpstreamEvidence &evidence, SteadyTime foundAt)
+{
+    if (!isSince(evidence.lastHostAnswerAt, foundAt)) {
+        evidence.lastHostSilenceAt = std::max(evidence.lastHostSilenceAt.value_or(foundAt), foundAt);
+    }
 }
 
 bool noteUnreachableVerdict(UpstreamEvidence &evidence, const Verdict &verdict, SteadyTime now, double jitter)
@@ -156,6 +211,7 @@
         return false;
     }
     evidence.isReportedUnreachable = true;
+    evidence.isReportedHostSilent = evidence.isReportedHostSilent || verdict.isHostSilent;
     evidence.isAvoidedWithDataCentre = false;
     evidence.avoidedSince = std::max(evidence.avoidedSince, foundAt);
     evidence.avoidedUntil = std::max(evidence.avoidedUntil, foundAt + verdictLifetime);
@@ -171,15 +227,12 @@
     }
 }
 
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt, SteadyTime now)
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now)
 {
     if (evidence.state == Reachability::unreachable) {
         return false;
     }
     evidence.lastFailureAt = std::max(evidence.lastFailureAt, foundAt);
-    if (result == ProbeResult::silent) {
-        evidence.lastSilenceAt = std::max(evidence.lastSilenceAt.value_or(foundAt), foundAt);
-    }
     setState(evidence, Reachability::unreachable, now);
     evidence.isUnreachableWithoutProbe = true;
     evidence.unreachableUntil = now + verdictLifetime;
@@ -254,21 +307,18 @@
         && evidence.pendingProbes == 0 && now - evidence.lastProbeAt >= minVerificationInterval;
 }
 
-bool mayResetFlows(const UpstreamEvidence &evidence, Microseconds usualResponseTime, SteadyTime now)
+bool mayResetFlows(const UpstreamEvidence &evidence, SteadyTime now)
 {
-    if (evidence.state != Reachability::unreachable) {
-        return false;
-    }
-    const auto maxStall = std::max<Microseconds>(minStallBesideRefusal, usualResponseTime * stallBesideRefusalFactor);
-    const bool isStalled = evidence.stalledSince && now - *evidence.stalledSince >= maxStall;
-    const bool isSilent = evidence.lastSilenceAt && now - *evidence.lastSilenceAt < failureValidity;
-    return isSilent || (isStalled && !evidence.hasServedDespiteRefusal && now - evidence.lastFailureAt < failureValidity);
+    return evidence.state == Reachability::unreachable && !evidence.isHostSilenceRefuted && evidence.lastHostSilenceAt
+        && now - *evidence.lastHostSilenceAt<failureValidity && * evidence.lastHostSilenceAt> evidence.lastProgressAt;
 }
 
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now)
 {
-    return evidence.state == Reachability::unreachable && now - evidence.lastFailureAt >= failureValidity && evidence.pendingProbes == 0
-        && now - evidence.lastProbeAt >= minVerificationInterval;
+    const bool isHostKnown
+        = isSince(evidence.lastHostSilenceAt, now - failureValidity) || isSince(evidence.lastHostAnswerAt, now - failureValidity);
+    return evidence.state == Reachability::unreachable && !evidence.isHostSilenceRefuted && !isHostKnown && !evidence.isHostProbePending
+        && now - evidence.lastHostProbeAt >= std::max<Milliseconds>(minVerificationInterval, hostProbeInterval(evidence));
 }
 
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now)
@@ -276,11 +326,24 @@
     const auto backoff = evidence.answeredProbesWithoutProgress > 0
         ? std::min(initialAnsweredProbeBackoff * (1 << std::min<int>(evidence.answeredProbesWithoutProgress - 1, 5)), maxRetryBackoff)
         : minProbeInterval;
-    const int pendingLimit = evidence.state == Reachability::suspect && !evidence.isReportedUnreachable ? maxPendingProbes : 1;
-    if (evidence.pendingProbes >= pendingLimit || evidence.isUnreachableWithoutProbe || now - evidence.lastProbeAt < backoff) {
+    if (evidence.pendingProbes > 0 || evidence.isUnreachableWithoutProbe || now - evidence.lastProbeAt < backoff) {
+        return false;
+    }
+    const bool isHostProbedFirst
+        = evidence.isReportedHostSilent && !evidence.isHostSilenceRefuted && !isSince(evidence.lastHostAnswerAt, evidence.stateSince);
+    return (evidence.state == Reachability::suspect && !isHostProbedFirst)
+        || (evidence.state == Reachability::unreachable && now >= evidence.unreachableUntil);
+}
+
+bool isHostProbeDue(const UpstreamEvidence &evidence, SteadyTime now)
+{
+    if (evidence.state != Reachability::suspect || evidence.isHostProbePending || evidence.isHostSilenceRefuted
+        || now - evidence.lastHostProbeAt < hostProbeInterval(evidence) || isSince(evidence.lastHostAnswerAt, evidence.stateSince)
+        || isSince(evidence.lastHostSilenceAt, evidence.stateSince)) {
         return false;
     }
-    return evidence.state == Reachability::suspect || (evidence.state == Reachability::unreachable && now >= evidence.unreachableUntil);
+    const bool isAnswerOverdue = evidence.lastProbeAt >= evidence.stateSince && now - evidence.lastProbeAt >= minProbeInterval;
+    return isAnswerOverdue || evidence.stalledFlows >= minStallsToTrustOneProbe || evidence.isReportedHostSilent;
 }
 
 bool needsEvaluation(const UpstreamEvidence &evidence)
--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.h
@@ -8,7 +8,7 @@
 enum class Reachability : std::uint8_t {
     reachable,
     suspect, ///< stalled, or to be checked after a peer's verdict; gets no new flow while others can take it
-    unreachable, ///< probes failed as well, here or at enough peers; its flows are reset
+    unreachable, ///< probes failed as well, here or at enough peers; its flows are reset if its host is silent too
     count
 };
 
@@ -40,16 +40,22 @@
     std::uint16_t stalledFlows = 0; ///< flows that retransmitted data since the last progress
     std::uint16_t stalledOpenings = 0; ///< retransmitted openings since the last progress
     std::uint8_t retryBackoffExponent = 0; ///< number of consecutive failures, by probes here or verdicts of peers, at most 8
-    std::uint8_t consecutiveFailedProbes = 0; ///< while suspect or unreachable
+    std::uint8_t consecutiveFailedProbes = 0; ///< of its port, while suspect or unreachable
     std::uint8_t answeredProbesWithoutProgress = 0; ///< consecutive; the host accepts connections, but serves no flow
-    std::uint8_t pendingProbes = 0; ///< probes in flight
+    std::uint8_t pendingProbes = 0; ///< probes of its port in flight
     bool isUnreachableWithoutProbe = false; ///< by verdicts of peers on this upstream; this instance does not probe it
     bool isAvoidedWithDataCentre = false; ///< avoided because its data centre is unreachable as a whole; says nothing about its flows
     bool isReportedUnreachable = false; ///< by a peer; one silent probe then suffices
+    bool isReportedHostSilent = false; ///< by a peer; its host is then probed before its port
     SteadyTime lastFailureAt {}; ///< latest failed probe of it known, by this instance or a peer
-    std::optional<SteadyTime> lastSilenceAt; ///< latest probe of it left unanswered, by this instance or a quorum
+    bool isHostProbePending = false;
+    std::uint8_t inconclusiveHostProbes = 0; ///< consecutive; no host answers this instance, or it is cut off itself
+    SteadyTime lastHostProbeAt {};
+    std::optional<SteadyTime> lastHostSilenceAt; ///< latest probe of its host left unanswered, by this instance or a quorum
+    std::optional<SteadyTime> lastHostAnswerAt; ///< latest attempt that its host answered, by accepting or refusing it
+    bool isHostSilenceContested = false; ///< a request that was sent after it was answered; the next probe of the host decides
+    bool isHostSilenceRefuted = false; ///< it served flows while its host left probes unanswered, so that silence proves nothing
     std::optional<SteadyTime> stalledSince; ///< first retransmission of data since the last progress
-    bool hasServedDespiteRefusal = false; ///< flows made progress after a refused probe, so a refusal says nothing about them
     bool areFlowsReset = false; ///< since it became unreachable
     SteadyTime avoidedSince {}; ///< time of the latest verdict or data centre check against it
     SteadyTime avoidedUntil {};
@@ -90,14 +96,9 @@
 /** Time for which a recovered upstream gets few new flows. */
 inline constexpr Milliseconds reducedPlacementTime {1500};
 
-/** Age up to which a failed probe is good for resetting open flows. Until the next probe the upstream may have come back. */
+/** Age up to which the silence of a host is good for resetting open flows. Until the next probe it may have come back. */
 inline constexpr Milliseconds failureValidity {1500};
 
-/** Minimum time from a client's first retransmission without an answer, on this or another flow, after which a refused probe is good
-    for resetting open flows; and the same as a multiple of the usual response time. */
-inline constexpr Milliseconds minStallBesideRefusal {300};
-inline constexpr int stallBesideRefusalFactor = 4;
-
 /** Minimum time between two probes that packets of open flows cause. */
 inline constexpr Milliseconds minVerificationInterval {200};
 
@@ -120,10 +121,24 @@
 /** Number of stalled flows from which one failed probe suffices; with fewer, the probe's packet may just have been lost. */
 inline constexpr int minStallsToTrustOneProbe = 3;
 
-/** Records the result of a probe. @param jitter in [0, 1), so that instances do not probe again at the same time
-    @returns whether the upstream became unreachable in this call */
+/** Records the result of a probe of the upstream's port. @param jitter in [0, 1), so that instances do not probe again at the same
+    time @returns whether the upstream became unreachable in this call */
 bool noteProbeResult(UpstreamEvidence &evidence, ProbeResult result, SteadyTime now, double jitter = 0);
 
+/** Records the conclusive result of a probe of the upstream's host. Any answer shows that the host is up: if the process has ended, the
+    host resets its flows itself. Silence is ignored if the upstream is reachable, made progress since the probe began, or has answered
+    another probe since then. @param jitter as for noteProbeResult() @returns whether the upstream became unreachable in this call */
+bool noteHostProbeResult(UpstreamEvidence &evidence, ProbeResult result, SteadyTime startedAt, SteadyTime now, double jitter = 0);
+
+/** Records that a probe of the upstream's host was left unanswered and says nothing; the next one waits longer. */
+void noteInconclusiveHostProbe(UpstreamEvidence &evidence);
+
+/** @returns whether the latest that is known of the upstream's host is that it answered lately. */
+bool isHostKnownUp(const UpstreamEvidence &evidence, SteadyTime now);
+
+/** Records that enough peers found the upstream's host silent. */
+void noteHostSilenceAtPeers(UpstreamEvidence &evidence, SteadyTime foundAt);
+
 /** Records a peer's failure verdict: the upstream gets no new flow while others can take it, unless progress was seen here
     since or the verdict is older than verdictLifetime. If the upstream is unreachable here as well, the peer's probe
     replaces the next one of this instance. @param jitter in [0, 1) @returns whether the verdict was accepted */
@@ -133,9 +148,9 @@
     @param jitter share of maxCheckDelay to wait, in [0, 1) */
 void scheduleCheck(UpstreamEvidence &evidence, SteadyTime now, double jitter);
 
-/** Marks the upstream unreachable for verdictLifetime without a probe. @param result, foundAt of the failure that says so
+/** Marks the upstream unreachable for verdictLifetime without a probe. @param foundAt time of the failure that says so
     @returns whether it became so in this call */
-bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, ProbeResult result, SteadyTime foundAt, SteadyTime now);
+bool markUnreachableWithoutProbe(UpstreamEvidence &evidence, SteadyTime foundAt, SteadyTime now);
 
 /** Keeps an upstream that was marked unreachable without a probe so until verdictLifetime after a failure. */
 void extendUnreachablePeriod(UpstreamEvidence &evidence, SteadyTime foundAt);
@@ -166,18 +181,22 @@
     itself was neither probed recently nor made progress. */
 bool isCheckDueWithDataCentre(const UpstreamEvidence &evidence, SteadyTime now);
 
-/** @returns whether the open flows of an unreachable upstream may be reset: it left a recent probe unanswered, or refused one while
-    its flows stall as well. A refusal alone says only that nothing listens for connections. The upstream may serve all the same,
-    and the host of one that has ended resets the flows itself.
-    @param usualResponseTime of its service; 0 if unknown */
-bool mayResetFlows(const UpstreamEvidence &evidence, Microseconds usualResponseTime, SteadyTime now);
+/** @returns whether the open flows of an unreachable upstream may be reset: its host left a recent probe unanswered, and no flow made
+    progress since. The upstream's port says nothing about its flows, which do not use it: it may refuse connections, or have a full
+    queue of them, while the upstream serves. And the host of an upstream that has ended resets its flows itself. */
+bool mayResetFlows(const UpstreamEvidence &evidence, SteadyTime now);
 
-/** @returns whether a packet of an open flow should cause a probe, since the upstream is unreachable by an old failure only. */
+/** @returns whether a packet of an open flow should cause a probe of the upstream's host: the upstream is unreachable, and what is known
+    of its host is old. */
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now);
 
-/** @returns whether the upstream should be probed now: suspect, or unreachable with its pause over. */
+/** @returns whether the upstream's port should be probed now: suspect, or unreachable with its pause over. */
 bool isProbeDue(const UpstreamEvidence &evidence, SteadyTime now);
 
+/** @returns whether the host of a suspect upstream should be probed now: its port has not answered in time, or much speaks against the
+    upstream already. */
+bool isHostProbeDue(const UpstreamEvidence &evidence, SteadyTime now);
+
 /** @returns whether there is anything to evaluate or to probe: an unanswered opening, a stall, a state other than
     reachable, or a scheduled check. */
 bool needsEvaluation(const UpstreamEvidence &evidence);
--- a/modules/sapphirespan_cookie/evidence/VerdictBook.cpp
+++ b/modules/sapphirespan_cookie/evidence/VerdictBook.cpp
@@ -19,10 +19,11 @@
     const auto known = std::find_if(entry.failures.begin(), entry.failures.end(),
                                     [&verdict](const Verdict &item) { return item.prober == verdict.prober; });
     if (known != entry.failures.end()) {
-        if (known->foundAt < verdict.foundAt) {
+        const bool isFirstHostSilence = verdict.isHostSilent && !known->isHostSilent && known->foundAt <= verdict.foundAt;
+        if (known->foundAt < verdict.foundAt || isFirstHostSilence) {
             *known = verdict;
         }
-        return false;
+        return isFirstHostSilence;
     }
     std::vector<Verdict *> sameDataCentre;
     for (auto &item : entry.failures) {
@@ -42,8 +43,9 @@
     return false;
 }
 
-std::size_t VerdictTable::countUnreachableVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
-                                                   SteadyTime now) const
+template<typename Condition>
+std::size_t VerdictTable::countVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
+                                        SteadyTime now, Condition condition) const
 {
     const auto entry = m_entries.find(subject);
     if (entry == m_entries.end()) {
@@ -51,11 +53,24 @@
     }
     const auto &failures = entry->second.failures;
     return static_cast<std::size_t>(std::count_if(failures.begin(), failures.end(), [&](const Verdict &verdict) {
-        return now - verdict.foundAt < quorumVerdictMaxAge
+        return condition(verdict) && now - verdict.foundAt < quorumVerdictMaxAge
             && std::find(proberDataCentres.begin(), proberDataCentres.end(), verdict.proberDataCentre) != proberDataCentres.end();
     }));
 }
 
+std::size_t VerdictTable::countUnreachableVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
+                                                   SteadyTime now) const
+{
+    return countVerdicts(subject, proberDataCentres, now, [](const Verdict &) { return true; });
+}
+
+std::size_t VerdictTable::countHostSilentVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
+                                                  SteadyTime since, SteadyTime now) const
+{
+    return countVerdicts(subject, proberDataCentres, now,
+                         [since](const Verdict &verdict) { return verdict.isHostSilent && verdict.foundAt > since; });
+}
+
 bool VerdictTable::isRetryProber(const VerdictSubject &subject, ProberId prober, std::string_view proberDataCentre) const
 {
     const auto entry = m_entries.find(subject);
--- a/modules/sapphirespan_cookie/evidence/VerdictBook.h
+++ b/modules/sapphirespan_cookie/evidence/VerdictBook.h
@@ -40,6 +40,7 @@
     std::string proberDataCentre; ///< data centre from which it probed
     ProbeResult result = ProbeResult::connected; ///< for a data centre: connected if any of its hosts answered
     SteadyTime foundAt {};
+    bool isHostSilent = false; ///< the upstream's host left a probe unanswered as well, which speaks against its open flows
 };
 
 /** @returns whether a probe with this result speaks against placing flows. */
@@ -75,7 +76,8 @@
     /** Adds a verdict unless the subject is known to have answered at the same time or later. Keeps the latest failure of each
         prober, for at most unreachableQuorum probers per data centre.
 
-        @returns whether it is news: a failure found by one more instance, or an answer while failures were recorded */
+        @returns whether it is news: a failure found by one more instance, the first silence of the host found by one, or an answer
+        while failures were recorded */
     bool insert(const Verdict &verdict);
 
     /** @returns the number of instances in the given data centres whose failure verdict on the subject is more recent than
@@ -83,6 +85,10 @@
     std::size_t countUnreachableVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
                                          SteadyTime now) const;
 
+    /** @returns the number of those among countUnreachableVerdicts() that found the host silent after `since`. */
+    std::size_t countHostSilentVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres,
+                                        SteadyTime since, SteadyTime now) const;
+
     /** @returns whether the given instance is to probe an unreachable subject again: fewer than retryProbersPerDataCentre
         instances of its data centre with a lower id have reported a failure. */
     bool isRetryProber(const VerdictSubject &subject, ProberId prober, std::string_view proberDataCentre) const;
@@ -99,6 +105,10 @@
         std::optional<Verdict> lastAnswer;
     };
 
+    template<typename Condition>
+    std::size_t countVerdicts(const VerdictSubject &subject, std::initializer_list<std::string_view> proberDataCentres, SteadyTime now,
+                              Condition condition) const;
+
     std::map<VerdictSubject, Entry> m_entries;
 };
 
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -14,6 +14,9 @@
 struct CookieState;
 class CookieOutbox;
 
+/** The discard service (RFC 863), to which a connection does no harm. */
+inline constexpr std::uint16_t defaultHostProbePort = 9;
+
 /** Settings of one instance with cookie steering. */
 struct CookieInstanceSettings {
     std::string name;
@@ -28,6 +31,8 @@
     /** Departed upstreams are kept for this time and a margin. Flows expire by RouteConfiguration::idleTimeout instead. */
     Milliseconds flowLifetime {60000};
     Milliseconds reportInterval {400}; ///< interval between regular reports to peers
+    /** TCP port at which the hosts of upstreams are probed. Nothing needs to listen there: a refusal is an answer as well. */
+    std::uint16_t hostProbePort = defaultHostProbePort;
     AdmissionSettings admission;
     std::uint64_t randomSeed = 0;
 };
@@ -50,7 +55,8 @@
     std::uint64_t droppedNoRoute = 0; ///< routes may be out of date, or the initial load took too long
     std::uint64_t reportsSent = 0;
     std::uint64_t reportBytes = 0;
-    std::uint64_t probes = 0;
+    std::uint64_t probes = 0; ///< all attempts
+    std::uint64_t hostProbes = 0; ///< those of them that asked hosts
     std::uint64_t snapshotsRequested = 0;
     std::uint64_t snapshotsServed = 0;
     std::uint64_t initialLoadsFromPeer = 0; ///< initial loads completed by a peer's snapshot
@@ -123,18 +129,21 @@
 
 /** Question that a probe answers. A probe is one connection attempt. */
 enum class ProbePurpose : std::uint8_t {
-    upstream, ///< whether this upstream is reachable
+    upstream, ///< whether this upstream accepts connections
+    host, ///< whether the host of this upstream answers at all
     dataCentre, ///< whether any upstream of its data centre is reachable
     selfCheck, ///< whether this instance reaches anything; a control for silent probes
+    hostSelfCheck, ///< whether the host of a reachable upstream answers; a control for silent probes of hosts
     count
 };
 
 template<>
 struct NameTable<ProbePurpose> {
-    static constexpr std::array<std::string_view, enumCount<ProbePurpose>> names {"upstream", "data_centre", "control"};
+    static constexpr std::array<std::string_view, enumCount<ProbePurpose>> names {"upstream", "host", "data_centre", "control",
+                                                                                  "host_control"};
 };
 
-/** Request to the driver to attempt a connection to an upstream. */
+/** Request to the driver to attempt a connection to an upstream or its host. */
 struct ProbeRequest {
     FlowCookie cookie = 0;
     Endpoint address;
--- a/modules/sapphirespan_cookie/peers/PeerReport.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerReport.cpp
@@ -224,7 +224,10 @@
     packer.pack(report.storeDataVersion.routesRevision);
     packer.pack(report.storeDataVersion.upstreamsDigest);
     packer.pack(report.storeDataAgeMs);
-    packHeader(packer, 0); // upstream loads, which earlier releases sent
+    packHeader(packer, report.verdicts.size()); // empty in the last release, which does not read it
+    for (const auto &verdict : report.verdicts) {
+        packer.pack(verdict.isHostSilent);
+    }
     packVector(packer, report.verdicts);
     packVector(packer, report.upstreamChanges);
     packVector(packer, report.knownPeers);
@@ -250,6 +253,18 @@
     return {buffer.data(), buffer.size()};
 }
 
+/** Reads the field that earlier releases leave empty, or use for something else. */
+void readHostSilence(const msgpack::object &object, std::vector<VerdictReport> &verdicts)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != verdicts.size()) {
+        return;
+    }
+    for (std::size_t index = 0; index < verdicts.size(); ++index) {
+        const auto &item = object.via.array.ptr[index];
+        verdicts[index].isHostSilent = item.type == msgpack::type::BOOLEAN && item.via.boolean;
+    }
+}
+
 std::optional<PeerReport> decodeReport(std::span<const std::uint8_t> bytes)
 {
     return decodeMessage(bytes, reportMagic, 15, [](std::span<const msgpack::object> list) {
@@ -262,6 +277,7 @@
         report.storeDataVersion = {numberFrom<std::uint64_t>(list[6]), numberFrom<std::uint64_t>(list[7])};
         report.storeDataAgeMs = numberFrom<std::uint32_t>(list[8]);
         report.verdicts = vectorFrom(list[10], verdictFrom);
+        readHostSilence(list[9], report.verdicts);
         report.upstreamChanges = vectorFrom(list[11], upstreamEntryFrom);
         report.knownPeers = vectorFrom(list[12], knownPeerFrom);
         report.ranksAcrossDataCentres = boolFrom(list[13]);
--- a/modules/sapphirespan_cookie/state/CookieState.h
+++ b/modules/sapphirespan_cookie/state/CookieState.h
@@ -108,6 +108,8 @@
     SteadyTime lastUpstreamFetchAt {};
     int consecutiveUpstreamFetches = 0; ///< fetches in a row after which the upstreams still differed from a peer's
     SteadyTime lastAnsweredProbeStartedAt {}; ///< latest start time of a probe that was answered
+    SteadyTime lastAnsweredHostProbeStartedAt {}; ///< the same of probes of hosts
+    bool isLastHostControlSilent = false; ///< the latest hostSelfCheck was left unanswered
     std::size_t nextSelfCheckIndex = 0; ///< rotates the target of self-check probes
     SteadyTime ownLinkSuspectUntil {}; ///< own link or event loop may be at fault; no failed probe is reported to peers until then
     std::vector<ProbeRequest> probeRequests;
--- a/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieJudgeSystem.cpp
@@ -8,6 +8,7 @@
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirespan {
 
@@ -23,6 +24,13 @@
 /** Age of the store's data up to which an upstream that is still listed counts as still there. */
 constexpr Milliseconds trustedDataAge {2500};
 
+/** @returns what peers are told of an unreachable upstream whose port was probed with the given result: one whose host answers is not
+    silent to them, so that those of earlier releases do not reset its flows at once. */
+ProbeResult verdictOn(const UpstreamEvidence &evidence, ProbeResult result, SteadyTime now)
+{
+    return isFailure(result) && isHostKnownUp(evidence, now) ? ProbeResult::refused : result;
+}
+
 /** Handles the result of a probe for `ProbePurpose::upstream`. A failure is ignored if it is inconclusive, or if the probe
     started before the upstream became unreachable. */
 void handleUpstreamProbeResult(CookieState &state, UpstreamRow &row, const ProbeRequest &request, ProbeResult result)
@@ -48,7 +56,7 @@
     }
     if (evidence.state == Reachability::unreachable) {
         resetFlowsToUnreachableUpstreams(state);
-        recordOwnVerdict(state, {row.cookie, {}}, result);
+        recordOwnVerdict(state, {row.cookie, {}}, verdictOn(row.evidence, result, state.now), mayResetFlows(row.evidence, state.now));
     } else if (evidence.state == Reachability::reachable && previousState != Reachability::reachable) {
         announce(state, CookieEventKind::upstreamRecovered, row.cookie, "a connection attempt succeeded");
         if (previousState == Reachability::unreachable || wasAvoided) {
@@ -57,6 +65,29 @@
     }
 }
 
+/** Handles the result of a probe for `ProbePurpose::host`. Silence is ignored if it is inconclusive. */
+void handleHostProbeResult(CookieState &state, UpstreamRow &row, const ProbeRequest &request, ProbeResult result)
+{
+    auto &evidence = row.evidence;
+    if (result == ProbeResult::silent && !isHostSilenceConclusive(state, request.startedAt)) {
+        noteInconclusiveHostProbe(evidence);
+        return;
+    }
+    const bool isContested = std::exchange(evidence.isHostSilenceContested, false);
+    if (result != ProbeResult::silent) {
+        noteAnswerFromDataCentre(state, row);
+    } else if (isContested && evidence.state == Reachability::reachable) {
+        evidence.isHostSilenceRefuted = true;
+    }
+    if (noteHostProbeResult(evidence, result, request.startedAt, state.now, uniformRandom(state))) {
+        announce(state, CookieEventKind::upstreamUnreachable, row.cookie, "its host is silent; " + suspicionText(evidence, state.now));
+    }
+    if (mayResetFlows(evidence, state.now)) {
+        resetFlowsToUnreachableUpstreams(state);
+        recordOwnVerdict(state, {row.cookie, {}}, ProbeResult::silent, true);
+    }
+}
+
 /** @returns whether the next probe of an unreachable upstream is still left to peers. A few of the instances that found it
     unreachable probe it as soon as its retry is due; the others wait for `backupRetryDelay` longer and probe only if those
     did not. */
@@ -66,6 +97,13 @@
         && !state.verdicts.isRetryProber({row.cookie, {}}, ownProberId(state), state.settings.dataCentre);
 }
 
+/** @returns whether a probe of the port of an upstream needs no control of its own: if it stays unanswered, the host is probed next, and
+    the control for that serves both. */
+bool isControlledByHostProbe(const CookieState &state, const UpstreamRow &row)
+{
+    return row.evidence.state == Reachability::suspect && !row.evidence.isHostSilenceRefuted && !state.isLastHostControlSilent;
+}
+
 } // namespace
 
 void evaluateUpstreams(CookieState &state)
@@ -75,27 +113,30 @@
         return row == nullptr || !needsEvaluation(row->evidence);
     });
     evaluateDataCentres(state);
-    bool isProbing = false;
+    bool isSelfCheckDue = false;
     bool isResetDue = false;
     for (const auto cookie : state.upstreamsToEvaluate) {
         auto &row = *state.upstreams.find(cookie);
         if (updateReachability(row.evidence, state.now)) {
             announce(state, CookieEventKind::upstreamSuspect, cookie, suspicionText(row.evidence, state.now));
         }
-        if (!row.evidence.areFlowsReset && mayResetFlows(state, row)) {
+        if (!row.evidence.areFlowsReset && mayResetFlows(row.evidence, state.now)) {
             row.evidence.areFlowsReset = true;
             isResetDue = true;
         }
         const bool isProbeAllowed = row.entry.phase != RegistrationPhase::departed && !isProbeLeftToDataCentreCheck(state, row);
+        if (isProbeAllowed && isHostProbeDue(row.evidence, state.now)) {
+            probeHost(state, row);
+        }
         if (isProbeAllowed && isProbeDue(row.evidence, state.now) && !isRetryLeftToPeers(state, row)) {
             probeUpstream(state, row);
-            isProbing = true;
+            isSelfCheckDue = isSelfCheckDue || !isControlledByHostProbe(state, row);
         }
     }
     if (isResetDue) {
         resetFlowsToUnreachableUpstreams(state);
     }
-    if (isProbing) {
+    if (isSelfCheckDue) {
         requestSelfCheckProbe(state);
     }
 }
@@ -112,12 +153,21 @@
     if (result == ProbeResult::silent && request.purpose == ProbePurpose::selfCheck) {
         state.ownLinkSuspectUntil = state.now + verdictSuppressionTime;
     }
+    const bool isOfHost = request.purpose == ProbePurpose::host || request.purpose == ProbePurpose::hostSelfCheck;
+    if (request.purpose == ProbePurpose::hostSelfCheck) {
+        state.isLastHostControlSilent = result == ProbeResult::silent;
+    }
+    if (isOfHost && result != ProbeResult::silent) {
+        state.lastAnsweredHostProbeStartedAt = std::max(state.lastAnsweredHostProbeStartedAt, request.startedAt);
+    }
     auto *row = state.upstreams.find(request.cookie);
     if (row == nullptr) {
         return;
     }
     if (request.purpose == ProbePurpose::upstream) {
         handleUpstreamProbeResult(state, *row, request, result);
+    } else if (request.purpose == ProbePurpose::host) {
+        handleHostProbeResult(state, *row, request, result);
     } else if (request.purpose == ProbePurpose::dataCentre) {
         handleSampleProbeResult(state, *row, result, isSilenceConclusive(state, request.startedAt));
     }
@@ -131,6 +181,8 @@
     }
     if (request.purpose == ProbePurpose::upstream) {
         row->evidence.pendingProbes = static_cast<std::uint8_t>(std::max(row->evidence.pendingProbes - 1, 0));
+    } else if (request.purpose == ProbePurpose::host) {
+        row->evidence.isHostProbePending = false;
     } else if (request.purpose == ProbePurpose::dataCentre) {
         handleSampleProbeResult(state, *row, ProbeResult::silent, false);
     }
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -173,11 +173,27 @@
         && state.now - std::max(*row.departedAt, state.storeLastOutOfReachAt) > departureConfirmationTime;
 }
 
+/** Probes the host of an upstream again that answered a request although its host was found silent before that was sent. If it is still
+    silent, probes of this host prove nothing. */
+void checkHostSilence(CookieState &state, UpstreamRow &row, SteadyTime requestedAt)
+{
+    auto &evidence = row.evidence;
+    const bool isContradicted = evidence.lastHostSilenceAt && requestedAt > *evidence.lastHostSilenceAt
+        && state.now - *evidence.lastHostSilenceAt < failureValidity && !evidence.isHostSilenceRefuted;
+    if (isContradicted && !evidence.isHostProbePending && state.now - evidence.lastHostProbeAt >= minVerificationInterval) {
+        evidence.isHostSilenceContested = true;
+        probeHost(state, row);
+    }
+}
+
 /** Updates the evidence and load of an upstream from what one packet changed about its flow.
     @param route service address of the flow */
 void applyFlowUpdate(CookieState &state, UpstreamRow &row, const Ipv4Endpoint &route, const FlowUpdate &update)
 {
     auto &load = row.load;
+    if (update.responseTime) {
+        checkHostSilence(state, row, state.now - *update.responseTime);
+    }
     const bool wasUnreachable = row.evidence.state == Reachability::unreachable;
     if (update.isProgress && noteProgress(row.evidence, state.now)) {
         announce(state, CookieEventKind::upstreamRecovered, row.cookie, "a flow made progress");
@@ -210,7 +226,7 @@
 }
 
 /** Probes an upstream to which a packet goes although it was unreachable when last probed, or although its data centre is
-    unreachable and this upstream was not probed by itself. */
+    unreachable and this upstream was not probed by itself. An answer of its port shows as well that its host is up. */
 void verifyUnreachable(CookieState &state, UpstreamRow &row)
 {
     if (row.entry.phase == RegistrationPhase::departed) {
@@ -220,8 +236,8 @@
         scheduleCheck(row.evidence, state.now, 0);
         state.upstreamsToEvaluate.insert(row.cookie);
     } else if (isVerificationDue(row.evidence, state.now)) {
+        probeHost(state, row);
         probeUpstream(state, row);
-        requestSelfCheckProbe(state);
     }
 }
 
@@ -248,8 +264,8 @@
     if (isKnown) {
         applyFlowUpdate(state, *row, packet.ends.service, updateFlow(flow, packet, state.now));
     }
-    if (packet.payloadBytes > 0 && mayResetFlows(state, *row)) {
-        resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "its upstream is dark");
+    if (packet.payloadBytes > 0 && mayResetFlows(row->evidence, state.now)) {
+        resetFlow(state, state.counters.resetUpstreamUnreachable, packet.ends, flow, "the host of its upstream is silent");
     } else if (packet.payloadBytes > 0 && flow.retransmissions >= unansweredRetransmissions && isDepartureConfirmed(state, *row)) {
         resetFlow(state, state.counters.resetUpstreamDeparted, packet.ends, flow, "its upstream has departed");
     } else {
@@ -292,26 +308,8 @@
     dropExpiredHeldPackets(state);
 }
 
-/** @returns the mean of the response times of a service's upstreams, as seen here; 0 if there are none. */
-Microseconds usualResponseTime(const CookieState &state, const std::string &service)
-{
-    double sumMs = 0;
-    int count = 0;
-    for (const auto *row : state.upstreams.listedForService(service)) {
-        sumMs += row->load.averageFirstByteMs;
-        count += row->load.averageFirstByteMs > 0 ? 1 : 0;
-    }
-    return Microseconds(count > 0 ? static_cast<std::int64_t>(sumMs * 1000 / count) : 0);
-}
-
 } // namespace
 
-bool mayResetFlows(const CookieState &state, const UpstreamRow &row)
-{
-    return row.evidence.state == Reachability::unreachable
-        && mayResetFlows(row.evidence, usualResponseTime(state, row.entry.service), state.now);
-}
-
 void handleClientPacket(CookieState &state, std::span<std::uint8_t> bytes)
 {
     ++state.counters.packets;
@@ -341,8 +339,8 @@
         if (flow.phase != FlowPhase::open) {
             continue;
         }
-        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && mayResetFlows(state, *row)) {
-            resetFlow(state, state.counters.resetUpstreamUnreachable, ends, flow, "its upstream is dark");
+        if (const auto *row = state.upstreams.find(flow.cookie); row != nullptr && mayResetFlows(row->evidence, state.now)) {
+            resetFlow(state, state.counters.resetUpstreamUnreachable, ends, flow, "the host of its upstream is silent");
         }
     }
 }
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.h
@@ -5,7 +5,6 @@
 namespace sapphirespan {
 
 /** @returns whether the open flows of an upstream may be reset because it is unreachable. */
-bool mayResetFlows(const CookieState &state, const UpstreamRow &row);
 
 /** Forwards, rejects or drops one client packet, or holds it until routes and upstreams are loaded.
     @param bytes untrusted; the cookie is written into an opening packet in place, and forwarded packets point into them, so
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -109,8 +109,8 @@
     auto remainingBytes = maxVerdictBytes;
     for (const auto &verdict : state.verdicts.verdictsToForward(state.now, maxVerdictsPerReport)) {
         if (takeSpace(remainingBytes, maxVerdictNumberBytes + verdict.subject.dataCentre.size() + verdict.proberDataCentre.size())) {
-            report.verdicts.push_back(
-                {verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result, millisecondsSince(state, verdict.foundAt)});
+            report.verdicts.push_back({verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result,
+                                       millisecondsSince(state, verdict.foundAt), verdict.isHostSilent});
         }
     }
 }
@@ -279,8 +279,9 @@
     mergeUpstreamEntries(state, report->upstreamChanges);
     adoptConfirmationTimes(state, *report);
     for (const auto &verdict : report->verdicts) {
-        handlePeerVerdict(
-            state, {verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result, state.now - Milliseconds(verdict.ageMs)});
+        handlePeerVerdict(state,
+                          {verdict.subject, verdict.prober, verdict.proberDataCentre, verdict.result,
+                           state.now - Milliseconds(verdict.ageMs), verdict.isHostSilent});
     }
     requestDueSnapshots(state);
 }
--- a/modules/sapphirespan_cookie/systems/CookieProbing.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.cpp
@@ -10,6 +10,10 @@
 /** Upstreams with progress within this time are preferred as targets of self-check probes. */
 constexpr Milliseconds recentProgressWindow {1000};
 
+/** Number of candidates with progress a moment ago below which those with recent progress are considered too, so that the instances of a
+    large fleet, each with few flows, do not probe the same few upstreams. */
+constexpr std::size_t minFreshCandidates = 4;
+
 bool isUsableAsControl(const CookieState &state, const UpstreamRow &row)
 {
     const auto &evidence = row.evidence;
@@ -17,13 +21,42 @@
         && !isAvoided(evidence, state.now) && !isOpeningOverdue(evidence, state.now);
 }
 
+/** @returns the upstream to probe next as a control, or nullptr if none qualifies: preferably a local one, which remains reachable when the
+    path to another data centre is cut, and of these one with progress a moment ago, since others may have fallen silent together. @param
+   excludedHost host that a control would not be independent of, or nullptr */
+UpstreamRow *nextControl(CookieState &state, const IpAddress *excludedHost)
+{
+    std::array<std::vector<UpstreamRow *>, 4> candidates; // best first: local with progress just now, or recently, other local, remote
+    for (auto &[cookie, row] : state.upstreams.rows()) {
+        if (isUsableAsControl(state, row) && (excludedHost == nullptr || row.address.address != *excludedHost)) {
+            const bool isLocal = row.entry.dataCentre == state.settings.dataCentre;
+            const auto timeSinceProgress = state.now - row.evidence.lastProgressAt;
+            const int progressRank = timeSinceProgress < suspectAfterNoProgress ? 0 : timeSinceProgress < recentProgressWindow ? 1 : 2;
+            candidates[isLocal ? progressRank : 3].push_back(&row);
+        }
+    }
+    if (candidates[0].size() < minFreshCandidates) {
+        candidates[0].insert(candidates[0].end(), candidates[1].begin(), candidates[1].end());
+    }
+    const auto best = std::find_if(candidates.begin(), candidates.end(), [](const auto &list) { return !list.empty(); });
+    if (best == candidates.end()) {
+        return nullptr;
+    }
+    std::sort(best->begin(), best->end(), [](const auto *a, const auto *b) { return a->cookie < b->cookie; });
+    const auto index = state.peers.isFullMesh() ? state.peers.rankInDataCentre(state.now) + state.nextSelfCheckIndex++ : state.random();
+    return (*best)[index % best->size()];
+}
+
 } // namespace
 
 void requestProbe(CookieState &state, UpstreamRow &row, ProbePurpose purpose)
 {
-    row.evidence.lastProbeAt = state.now;
+    const bool isOfHost = purpose == ProbePurpose::host || purpose == ProbePurpose::hostSelfCheck;
+    (isOfHost ? row.evidence.lastHostProbeAt : row.evidence.lastProbeAt) = state.now;
     ++state.counters.probes;
-    state.probeRequests.push_back({row.cookie, row.address, state.now, purpose});
+    state.counters.hostProbes += isOfHost ? 1 : 0;
+    const Endpoint address {row.address.address, isOfHost ? state.settings.hostProbePort : row.address.port};
+    state.probeRequests.push_back({row.cookie, address, state.now, purpose});
 }
 
 void probeUpstream(CookieState &state, UpstreamRow &row)
@@ -37,26 +70,31 @@
     return state.lastAnsweredProbeStartedAt + selfCheckValidity >= startedAt;
 }
 
-void requestSelfCheckProbe(CookieState &state)
+bool isHostSilenceConclusive(const CookieState &state, SteadyTime startedAt)
 {
-    if (isSilenceConclusive(state, state.now)) {
+    return state.lastAnsweredHostProbeStartedAt + selfCheckValidity >= startedAt;
+}
+
+void probeHost(CookieState &state, UpstreamRow &row)
+{
+    row.evidence.isHostProbePending = true;
+    requestProbe(state, row, ProbePurpose::host);
+    if (isHostSilenceConclusive(state, state.now)) {
         return;
     }
-    std::array<std::vector<UpstreamRow *>, 3> candidates; // best first: local with recent progress, other local, remote
-    for (auto &[cookie, row] : state.upstreams.rows()) {
-        if (isUsableAsControl(state, row)) {
-            const bool isLocal = row.entry.dataCentre == state.settings.dataCentre;
-            const bool hasRecentProgress = state.now - row.evidence.lastProgressAt < recentProgressWindow;
-            candidates[isLocal ? (hasRecentProgress ? 0 : 1) : 2].push_back(&row);
-        }
+    if (auto *control = nextControl(state, &row.address.address); control != nullptr) {
+        requestProbe(state, *control, ProbePurpose::hostSelfCheck);
     }
-    const auto bestCandidates = std::find_if(candidates.begin(), candidates.end(), [](const auto &list) { return !list.empty(); });
-    if (bestCandidates == candidates.end()) {
+}
+
+void requestSelfCheckProbe(CookieState &state)
+{
+    if (isSilenceConclusive(state, state.now)) {
         return;
     }
-    std::sort(bestCandidates->begin(), bestCandidates->end(), [](const auto *a, const auto *b) { return a->cookie < b->cookie; });
-    const auto candidateIndex = state.peers.rankInDataCentre(state.now) + state.nextSelfCheckIndex++;
-    requestProbe(state, *(*bestCandidates)[candidateIndex % bestCandidates->size()], ProbePurpose::selfCheck);
+    if (auto *control = nextControl(state, nullptr); control != nullptr) {
+        requestProbe(state, *control, ProbePurpose::selfCheck);
+    }
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookieProbing.h
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.h
@@ -4,12 +4,20 @@
 
 namespace sapphirespan {
 
-/** Queues a probe, that is, a connection attempt to an upstream; CookieInstance::takeProbeRequests() hands it out. */
+/** Queues a probe, that is, a connection attempt to an upstream's port or, for the purposes `host` and `hostSelfCheck`, to a port of its
+    host on which nothing needs to listen; CookieInstance::takeProbeRequests() hands it out. */
 void requestProbe(CookieState &state, UpstreamRow &row, ProbePurpose purpose);
 
 /** Queues a probe of an upstream by itself, and counts it as pending. The caller sees to a self-check probe. */
 void probeUpstream(CookieState &state, UpstreamRow &row);
 
+/** Queues a probe of an upstream's host and a control for it. */
+void probeHost(CookieState &state, UpstreamRow &row);
+
+/** @returns whether the silence of a host that was probed at `startedAt` is evidence against it: the probe of another host that started
+    no more than selfCheckValidity earlier, or later, was answered. Networks that drop such probes thus prove nothing. */
+bool isHostSilenceConclusive(const CookieState &state, SteadyTime startedAt);
+
 /** Time for which an answered probe shows, from its start on, that this instance's own link and event loop work. Covers the
     first of two probes and its answer. */
 inline constexpr Milliseconds selfCheckValidity {100};
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.cpp
@@ -36,10 +36,18 @@
         scheduleCheck(row.evidence, state.now, 0);
         state.upstreamsToEvaluate.insert(row.cookie);
     } else if (witnesses >= unreachableQuorum) {
-        if (markUnreachableWithoutProbe(row.evidence, verdict.result, verdict.foundAt, state.now)) {
+        if (markUnreachableWithoutProbe(row.evidence, verdict.foundAt, state.now)) {
             state.upstreamsToEvaluate.insert(row.cookie);
             announce(state, CookieEventKind::upstreamUnreachable, row.cookie,
                      "several peers found it so; " + suspicionText(row.evidence, state.now));
+        }
+        const auto lastSignOfLife = std::max(row.evidence.lastProgressAt, row.evidence.lastHostAnswerAt.value_or(SteadyTime {}));
+        const bool isHostSilent = verdict.isHostSilent
+            && state.verdicts.countHostSilentVerdicts(verdict.subject, {state.settings.dataCentre, row.entry.dataCentre}, lastSignOfLife,
+                                                      state.now)
+                >= unreachableQuorum;
+        if (isHostSilent) {
+            noteHostSilenceAtPeers(row.evidence, verdict.foundAt);
             resetFlowsToUnreachableUpstreams(state);
         }
     } else if (hasFlows(row)) {
@@ -64,12 +72,12 @@
     return static_cast<ProberId>(rankKey(state.settings.name));
 }
 
-void recordOwnVerdict(CookieState &state, const VerdictSubject &subject, ProbeResult result)
+void recordOwnVerdict(CookieState &state, const VerdictSubject &subject, ProbeResult result, bool isHostSilent)
 {
     if (isFailure(result) && state.now < state.ownLinkSuspectUntil) {
         return;
     }
-    const bool isNew = recordVerdict(state, {subject, ownProberId(state), state.settings.dataCentre, result, state.now});
+    const bool isNew = recordVerdict(state, {subject, ownProberId(state), state.settings.dataCentre, result, state.now, isHostSilent});
     state.hasUnreportedOwnVerdict = state.hasUnreportedOwnVerdict || isNew;
 }
 
--- a/modules/sapphirespan_cookie/systems/CookieVerdictSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieVerdictSystem.h
@@ -8,15 +8,15 @@
 ProberId ownProberId(const CookieState &state);
 
 /** Records the result of this instance's own probes, to be reported to peers. A failure is discarded while this instance's
-    own network link or event loop is suspect. */
-void recordOwnVerdict(CookieState &state, const VerdictSubject &subject, ProbeResult result);
+    own network link or event loop is suspect. @param isHostSilent as in Verdict */
+void recordOwnVerdict(CookieState &state, const VerdictSubject &subject, ProbeResult result, bool isHostSilent = false);
 
 /** Handles a verdict that a peer reached or passed on.
 
     An upstream reported as unreachable takes no new flows while others can take them. If the prober is in this instance's
-    data centre or in that of the upstream, the verdict also counts as the first failure of this instance's own check: the
-    flows are reset once `unreachableQuorum` probers agree or one probe of this instance fails too. Only an instance
-    with flows to the upstream probes it for this reason.
+    data centre or in that of the upstream, the verdict also counts as the first failure of this instance's own check. Flows are
+    reset once `unreachableQuorum` probers found the host of the upstream silent, or a probe of this instance does too. Only an
+    instance with flows to the upstream probes it for this reason.
 
     During a network partition the two sides see different things. So an unreachable verdict from any other data centre only
     keeps new flows away, and not from upstreams of the own data centre; a reachable one from there is only recorded.
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -95,6 +95,7 @@
     bool isListening = true; ///< else its host answers openings with a reset
     bool isDark = false; ///< answers nothing at all
     bool isProbeSilent = false; ///< its queue of new connections is full, though it serves flows
+    bool isHostSilent = false; ///< its host drops connection attempts to ports on which nothing listens
     bool isProbeRefused = false; ///< nothing listens for connections, though it serves flows
     bool isReading = true; ///< else what arrives waits until readAll()
     double slowness = 1;
@@ -260,6 +261,7 @@
     void clientReset(User &user, bool isBySystem);
     std::optional<std::size_t> instanceAt(const Endpoint &peer) const;
     ModelUpstream *upstreamAt(const Endpoint &address);
+    ModelUpstream *upstreamOnHost(const IpAddress &address);
     ModelUpstream *holderOf(const FlowEnds &ends);
     std::uint64_t draw(std::uint64_t limit);
 
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModelUpstreams.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModelUpstreams.cpp
@@ -9,6 +9,14 @@
     return found == upstreams.rend() ? nullptr : &*found;
 }
 
+ModelUpstream *CookieFleetModel::upstreamOnHost(const IpAddress &address)
+{
+    const auto found = std::find_if(upstreams.rbegin(), upstreams.rend(), [&address](const ModelUpstream &upstream) {
+        return toEndpoint(upstream.entry.address).address == address;
+    });
+    return found == upstreams.rend() ? nullptr : &*found;
+}
+
 ModelUpstream *CookieFleetModel::holderOf(const FlowEnds &ends)
 {
     const auto found
