Soak: disturb upstreams that live and serve their flows; a silent crash silences the host as well

Until now an upstream in the soak either served everything or had ended, so a flow that is reset because of what the TCP port of a living upstream did could not show. What counts as broken is unchanged.

A silent crash leaves connection attempts to the setting host_probe_port unanswered too. Builds that do not know the setting get a settings file without it.

Before this change these faults did not exist in the soak.

--- a/standins/harness/cookie_stage.py
+++ b/standins/harness/cookie_stage.py
@@ -53,6 +53,20 @@
         self.received(raw)
 
 
+def listen(address, is_full=False):
+    """@param is_full whether connection attempts there stay unanswered. @returns the listening socket, and those that fill its queue"""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind(address)
+    listener.listen(0 if is_full else 100)
+    callers = [socket.socket() for _ in range(3 if is_full else 0)]
+    for caller in callers:
+        caller.setblocking(False)
+        caller.connect_ex(address)
+    return [listener, *callers]
+
+
 async def udp(address, received):
     transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: Socket(received), local_addr=address)
     return transport
@@ -155,11 +169,14 @@
     def __init__(self, stage, ident, address, service, zone):
         self.stage, self.ident, self.address, self.service, self.zone = stage, ident, address, service, zone
         self.flows, self.alive, self.state, self.taken_late = {}, False, "ready", 0
+        self.port, self.port_sockets = "closed", []
+        self.unread = None  # the packets that wait while it reads nothing
+        self.response_delay = 0  # in seconds
         self.born = 1760000000000 + ident
 
     async def start(self):
         self.socket = await udp(self.address, self.received)
-        self.listener = await asyncio.start_server(lambda reader, writer: writer.close(), *self.address)
+        self.set_port("open")
         self.alive = True
         await self.announce()
 
@@ -179,26 +196,39 @@
             await self.stage.store.write("servers", f"i-{self.ident:x}", None)
 
     def crash(self, is_silent=False):
-        """@param is_silent connection attempts get no answer afterwards; else they are refused"""
+        """@param is_silent connection attempts to its host get no answer afterwards; else they are refused"""
         self.alive = False
         self.socket.close()
-        self.listener.close()
-        self.flows.clear()
+        self.set_port("full" if is_silent else "closed")
         if is_silent:
-            self.fill_connection_queue()
-
-    def fill_connection_queue(self):
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self.address)
-        listener.listen(0)
-        callers = [socket.socket() for _ in range(3)]
-        for caller in callers:
-            caller.setblocking(False)
-            caller.connect_ex(self.address)
-        self.full_queue = [listener, *callers]
+            self.port_sockets += listen((self.address[0], self.stage.host_probe_port), is_full=True)
+        self.flows.clear()
+
+    def set_port(self, mode):
+        """@param mode of its TCP port: open, full (connection attempts get no answer), or else closed (they are refused)"""
+        self.port, loop = mode, asyncio.get_running_loop()
+        for old in self.port_sockets:
+            loop.remove_reader(old)
+            old.close()
+        self.port_sockets = listen(self.address, is_full=mode == "full") if mode in ("open", "full") else []
+        if mode == "open":
+            loop.add_reader(self.port_sockets[0], self.accept)
+
+    def accept(self):
+        try:
+            self.port_sockets[0].accept()[0].close()
+        except OSError as error:
+            print(f"upstream {self.ident:x} accepts no connection: {error}")
+
+    def resume_reading(self):
+        unread, self.unread = self.unread, None
+        for raw in unread:
+            self.received(raw)
 
     def received(self, raw):
+        if self.unread is not None:
+            self.unread.append(raw)
+            return
         if int.from_bytes(raw[:8], "big") != self.ident or not self.alive:
             return
         got = Parsed(raw[8:])
@@ -219,14 +249,21 @@
             return
         if got.data and got.seq == flow["next"]:
             flow["next"] += len(got.data)
-            flow["answer"] = b"done " + got.data
-            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+            if self.response_delay:
+                asyncio.get_running_loop().call_later(self.response_delay, self.respond, key, flow, got)
+            else:
+                self.respond(key, flow, got)
         elif got.data and flow["answer"]:
             self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
         elif not got.data and flow["answer"] and got.ack == (flow["sent"] + len(flow["answer"])) & 0xFFFFFFFF:
             flow["sent"] += len(flow["answer"])
             flow["answer"] = None
 
+    def respond(self, key, flow, got):
+        if self.flows.get(key) is flow:
+            flow["answer"] = b"done " + got.data
+            self.send(key, ACK, flow["sent"], flow["next"], got.echo, flow["answer"])
+
     def send(self, key, flags, seq, ack, echo, data=b""):
         source, target = key
         self.socket.sendto(packet(flags, seq, ack, target, source, echo, data, UPSTREAM_SUM), (source[0], self.stage.ingress))
@@ -328,7 +365,7 @@
         """@param earlier_build each second instance of a zone starts from this build at first, and all by turns when they are started again"""
         self.builds = [earlier_build or build, build]
         self.folder = tempfile.TemporaryDirectory(prefix="sapphirespan-")
-        self.ingress, self.peer, self.control, self.readiness, self.store_port = (network * 100 + n for n in (1, 2, 3, 4, 5))
+        self.ingress, self.peer, self.control, self.readiness, self.store_port, self.host_probe_port = (network * 100 + n for n in range(1, 7))
         self.network, self.zones, self.clients_per_zone = network, zones, clients_per_zone
         self.instances = [{"name": f"entry-{zones[n % len(zones)]}-{n // len(zones) + 1}", "ip": f"127.{network}.0.{n + 1}",
                            "zone": zones[n % len(zones)], "process": None, "ready": False, "starts": n // len(zones)}
@@ -336,6 +373,7 @@
         self.upstreams, self.next_ident = [], 0x1001
         self.asked = self.served = self.wrong = self.broken = self.misdelivered = self.late_openings = 0
         self.broken_flows = []
+        self.is_probing_hosts = {}  # by program
         self.is_over = False
 
     def address_of(self, service):
@@ -367,16 +405,27 @@
     def store_ip(self, zone):
         return f"127.{self.network}.1.{1 + self.zones.index(zone)}"
 
+    def write_settings(self, path, text, program):
+        """Earlier builds refuse a file with `host_probe_port`."""
+        full_text = f"{text}host_probe_port: {self.host_probe_port}\n"
+        if program not in self.is_probing_hosts:
+            with open(path, "w") as file:
+                file.write(full_text)
+            check = subprocess.run([program, f"--settings={path}", "--check_settings"], capture_output=True)
+            self.is_probing_hosts[program] = check.returncode == 0
+        with open(path, "w") as file:
+            file.write(full_text if self.is_probing_hosts[program] else text)
+
     def start_instance(self, instance):
         path = os.path.join(self.folder.name, instance["name"] + ".yaml")
         seeds = ", ".join(f'"{i["ip"]}:{self.control}"' for i in self.instances[:3])
-        with open(path, "w") as file:
-            file.write(f"steering: cookie\ninstance: {instance['name']}\ndata_centre: {instance['zone']}\n"
-                       f"listen: {{ingress: \"{instance['ip']}:{self.ingress}\", readiness: \"{instance['ip']}:{self.readiness}\","
-                       f" control: \"{instance['ip']}:{self.control}\", peer: \"{instance['ip']}:{self.peer}\"}}\n"
-                       f"platform: \"{self.store_ip(instance['zone'])}:{self.store_port}\"\nseeds: [{seeds}]\nleave_limit: 6s\n")
         instance["starts"] += 1
         program = os.path.join(self.builds[instance["starts"] % len(self.builds)], "apps/sapphirespand/sapphirespand")
+        text = (f"steering: cookie\ninstance: {instance['name']}\ndata_centre: {instance['zone']}\n"
+                f"listen: {{ingress: \"{instance['ip']}:{self.ingress}\", readiness: \"{instance['ip']}:{self.readiness}\","
+                f" control: \"{instance['ip']}:{self.control}\", peer: \"{instance['ip']}:{self.peer}\"}}\n"
+                f"platform: \"{self.store_ip(instance['zone'])}:{self.store_port}\"\nseeds: [{seeds}]\nleave_limit: 6s\n")
+        self.write_settings(path, text, program)
         log = open(os.path.join(self.folder.name, instance["name"] + ".log"), "a")
         instance["process"] = subprocess.Popen([program, f"--settings={path}"], stdout=log, stderr=log)
 
