--- a/standins/harness/cookie_flows_test.py
+++ b/standins/harness/cookie_flows_test.py
@@ -26,44 +26,19 @@
 
 
 class ServingUpstream(Upstream):
-    """Takes some time for each request. While it is held up it reads nothing; what arrives waits in its socket's buffer."""
+    """Takes some time for each request. While it is held up it reads nothing."""
 
-    is_held_up, slowness = False, 1
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.waiting, self.listener, self.flows_held_up = [], None, 0
-
-    async def listen(self):
-        if self.stage.is_listening:
-            await super().listen()
-
-    def stop_listening(self):
-        self.listener.close()
-        self.listener = None
-
-    def received(self, raw):
-        if self.is_held_up:
-            self.waiting.append(raw)
-        else:
-            super().received(raw)
+    slowness = 1
 
     async def hold_up(self, seconds):
-        self.is_held_up = True
+        self.unread = []
         self.stage.flows_held_up += len(self.flows)
         await asyncio.sleep(seconds)
-        self.is_held_up = False
-        waiting, self.waiting = self.waiting, []
-        for raw in waiting:
-            super().received(raw)
+        self.resume_reading()
 
     def begin_work(self, key, flow, got):
         work = min(0.1, random.lognormvariate(-4.0, 0.5)) * self.slowness
-        asyncio.get_running_loop().call_later(work, self.end_work, key, flow, got)
-
-    def end_work(self, key, flow, got):
-        if self.alive and self.flows.get(key) is flow:
-            self.answer(key, flow, got)
+        asyncio.get_running_loop().call_later(work, self.respond, key, flow, got)
 
 
 class PausingClient(Client):
@@ -79,7 +54,8 @@
 
     def __init__(self, build, is_listening, upstream_count, **settings):
         super().__init__(build, **settings)
-        self.is_listening, self.upstream_count, self.flows_held_up = is_listening, upstream_count, 0
+        self.first_port_mode = "open" if is_listening else "closed"
+        self.upstream_count, self.flows_held_up = upstream_count, 0
         self.latest_turn = 0.0
         if len(self.instances) > 20:
             self.readiness_period, self.start_pause = len(self.instances) / 40, 0.03
@@ -148,10 +124,7 @@
     async def change_listeners(self, listens):
         await asyncio.sleep(self.listener_at)
         for upstream in self.stage.upstreams:
-            if listens:
-                await Upstream.listen(upstream)
-            else:
-                upstream.stop_listening()
+            upstream.set_port("open" if listens else "closed")
         print("all upstreams listen now" if listens else "no upstream listens any more", flush=True)
 
     def begin(self):
@@ -165,8 +138,7 @@
         if self.variant == "full-queue-late":
             full = self.random.sample(upstreams, max(2, len(upstreams) // 5))
             for upstream in full:
-                upstream.stop_listening()
-                upstream.fill_connection_queue()
+                upstream.set_port("full")
             return [self.hold_up_one_by_one(full[: max(2, len(full) // 2)], SHORT_STALL)]
         changes = {"listener-comes-late": [True], "listener-ends": [False]}.get(self.variant, [])
         return [self.hold_up_one_by_one(upstreams, SHORT_STALL)] + [self.change_listeners(listens) for listens in changes]
@@ -185,7 +157,8 @@
                 step.result()
             step.cancel()
         for upstream in self.stage.upstreams:
-            upstream.is_held_up = False
+            if upstream.unread is not None:
+                upstream.resume_reading()
         await self.stage.stop()
 
 
