Return a relayed packet to its sender when a joining instance has no better owner

Bucket steering: an instance that pauses for longer than its lease less one heartbeat lapses when it wakes. Until its next heartbeat the others take it for the owner still, if its pause was shorter than the lease. It handed packets that the backup had relayed to it on to the instance next in rank. That one saw them come from the owner, decided as if it were the owner itself and, holding no copies, sent open flows to the default upstream, which reset them. The backup holds copies: the packet goes back to it, and it decides, since it sees the packet come from whom it takes for the owner.

Cost: if two instances lapse at once, packets between them are dropped at the hop limit until their heartbeats arrive; callers repeat them. Before, a third instance guessed.

--- a/modules/sapphirespan_entry/systems/PacketSystem.cpp
+++ b/modules/sapphirespan_entry/systems/PacketSystem.cpp
@@ -370,7 +370,7 @@
     }
     const bool isOwnerTheSender = arrival.relayedBy != noInstance && arrival.relayedBy == holders.owner;
     if (state.phase == MemberPhase::joining) {
-        relayTo(state, isOwnerTheSender ? holders.backup : holders.owner, arrival);
+        relayTo(state, holders.owner, arrival); // also back to a sender that takes this instance for the owner: it holds copies
         return;
     }
     if (isOwnerTheSender || holders.owner == noInstance || isKnownFromOwning(state, service, arrival)) {
--- a/standins/experiment/tests/FailureTest.cpp
+++ b/standins/experiment/tests/FailureTest.cpp
@@ -61,6 +61,31 @@
     checkFailure(Change::instanceFrozen, 30s, 0);
 }
 
+// Failure: an instance that lapsed before the others missed it handed a packet that the backup had relayed to it to a third
+// instance, which holds no copies; that one took itself for the owner and sent the open flow to the default upstream.
+BOOST_AUTO_TEST_CASE(aPauseThatTheOthersDoNotNoticeBreaksNothing)
+{
+    for (const std::string deployment : {"brookshell", "hinoki"}) {
+        for (const std::uint64_t seed : {23, 24}) {
+            BOOST_TEST_CONTEXT(deployment << " seed " << seed)
+            {
+                const auto settings = settingsOf(deployment, seed);
+                const auto &timing = settings.timing;
+                FleetModel model(settings);
+                model.warmUp();
+                model.drainUpstream(0, 1);
+                model.runFor(5s);
+                for (std::size_t round = 0; round < settings.instances; ++round) {
+                    model.freeze(round, timing.lease - timing.heartbeat * 3 / 4);
+                    model.runFor(10s);
+                }
+                checkSafety(model.counts());
+                BOOST_TEST(model.counts().broken() == 0U);
+            }
+        }
+    }
+}
+
 // Failure: copies of placements waited up to 10 ms for others, and an owner that stopped meanwhile took them along, so that the
 // next owner sent these open flows to the default upstream.
 BOOST_AUTO_TEST_CASE(anOwnerThatStopsForAWhileBreaksNoneOfItsLastPlacements)
