--- a/standins/experiment/FleetModel.h
+++ b/standins/experiment/FleetModel.h
@@ -51,6 +51,9 @@
     void killUpstream(std::size_t service, std::size_t upstream);
     void setShedding(std::size_t service, std::size_t upstream, bool isShedding);
 
+    /** Lets the status endpoint of an upstream answer no probe, or answer again; the upstream serves its flows all the time. */
+    void setStatusSilent(std::size_t service, std::size_t upstream, bool isSilent);
+
     /** @returns instances that run and are not frozen, by number. */
     std::vector<std::size_t> running() const;
 
--- a/standins/experiment/FleetModelInstances.cpp
+++ b/standins/experiment/FleetModelInstances.cpp
@@ -252,7 +252,7 @@
             for (std::size_t ordinal = 0; ordinal < m_services[service]->upstreams.size(); ++ordinal) {
                 auto &upstream = *m_services[service]->upstreams[ordinal];
                 ProbeOutcome outcome;
-                outcome.isAnswered = upstream.isAlive;
+                outcome.isAnswered = upstream.isAlive && !upstream.isStatusSilent;
                 const bool isDrainingNews = upstream.drainingSince && now - *upstream.drainingSince >= node.newsLag;
                 if (isDrainingNews) {
                     upstream.drainNewsAt = upstream.drainNewsAt.value_or(now);
--- a/standins/experiment/FleetModelParts.h
+++ b/standins/experiment/FleetModelParts.h
@@ -64,6 +64,7 @@
     std::optional<Microseconds> drainNewsAt; ///< when the first instance learned of it
     bool isAlive = true;
     bool isShedding = false;
+    bool isStatusSilent = false;
 };
 
 struct FleetModel::Service {
--- a/standins/experiment/FleetModelServices.cpp
+++ b/standins/experiment/FleetModelServices.cpp
@@ -94,6 +94,11 @@
     teachBaselines(service, m_settings.longestSkew);
 }
 
+void FleetModel::setStatusSilent(std::size_t service, std::size_t upstream, bool isSilent)
+{
+    m_services[service]->upstreams[upstream]->isStatusSilent = isSilent;
+}
+
 void FleetModel::killUpstream(std::size_t service, std::size_t upstream)
 {
     auto &dead = *m_services[service]->upstreams[upstream];
--- a/standins/harness/process_test.py
+++ b/standins/harness/process_test.py
@@ -173,7 +173,44 @@
     return finish(stage, caller)
 
 
-CASES = [killed_instance, frozen_instance, platform_outage, lost_answer, stale_reads, racing_publishers, operators_view]
+def status_endpoint_fails(stage):
+    """Failure: open flows are sent elsewhere because of what the status endpoint of their upstream does while it serves them,
+    also by instances that were restarted or frozen, or came to own buckets meanwhile."""
+    modes = ["refused", "refused", "unanswered", "slow"]
+    stage.start_platform()
+    files = [stage.add_service("order-desk", SERVICES["order-desk"], 8, status_modes=["refused", "open", "open", "open"])]
+    time.sleep(0.3)
+    stage.publish(*files)
+    stage.start_instances()
+    stage.start_fabric()
+    stage.wait_ready()
+    time.sleep(0.5)
+    caller = stage.start_callers({"order-desk": SERVICES["order-desk"]}, seconds=20)
+    time.sleep(2)
+    judged = stage.upstreams[:4]
+    for upstream, mode in zip(judged[1:], modes[1:]):
+        upstream["proxy"].set_mode(mode)
+    time.sleep(3)
+    restarted, frozen = stage.instances[0], stage.instances[1]
+    restarted["process"].send_signal(signal.SIGTERM)
+    check(restarted["process"].wait(timeout=40) == 0, "the hand-over was cut short")
+    stage.start_instance(restarted)
+    stage.wait_ready([restarted])
+    frozen["process"].send_signal(signal.SIGSTOP)
+    time.sleep(3)
+    frozen["process"].send_signal(signal.SIGCONT)
+    stage.wait_ready([frozen])
+    for upstream in judged:
+        upstream["proxy"].set_mode("open")
+    counts = finish(stage, caller)
+    events = [event for event in stage.events(stage.instances[2]["name"]) if event["event"] == "upstream_phase_changed"]
+    for upstream in judged:
+        details = [event["detail"] for event in events if event["subject"].endswith(endpoint(upstream["tunnel"]))]
+        check("open to down" in details and "down to open" in details, f"{upstream['proxy'].mode}: {details}")
+    return counts
+
+
+CASES = [killed_instance, frozen_instance, platform_outage, lost_answer, stale_reads, racing_publishers, operators_view, status_endpoint_fails]
 
 
 def main():
--- a/standins/harness/stage.py
+++ b/standins/harness/stage.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.request
 
@@ -42,6 +43,61 @@
     return f"{HOST}:{port}"
 
 
+class StatusProxy:
+    """Stands before the status endpoint of an upstream: passes it on, refuses connections, leaves them unanswered or is slow."""
+
+    def __init__(self, port, upstream_port, mode):
+        self.port, self.upstream_port, self.mode = port, upstream_port, mode
+        self.listener = None
+        self.thread = None
+        self.fillers = []
+        self.set_mode(mode)
+
+    def set_mode(self, mode):
+        old, self.listener, self.mode = self.listener, None, mode
+        if self.thread:
+            self.thread.join()  # the port is free only once nobody waits on it
+        for connection in [old, *self.fillers]:
+            if connection:
+                connection.close()
+        self.thread, self.fillers = None, []
+        if mode == "refused":
+            return
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((HOST, self.port))
+        self.listener.listen(0 if mode == "unanswered" else 64)
+        if mode == "unanswered":
+            self.fillers = [socket.socket() for _ in range(4)]
+            for connection in self.fillers:
+                connection.setblocking(False)
+                connection.connect_ex((HOST, self.port))
+            return
+        self.listener.settimeout(0.1)
+        self.thread = threading.Thread(target=self.serve, args=(self.listener, 1.0 if mode == "slow" else 0), daemon=True)
+        self.thread.start()
+
+    def serve(self, listener, delay):
+        while listener is self.listener:
+            try:
+                connection, _ = listener.accept()
+            except TimeoutError:
+                continue
+            threading.Thread(target=self.answer, args=(connection, delay), daemon=True).start()
+
+    def answer(self, connection, delay):
+        with connection:
+            try:
+                connection.settimeout(2)
+                connection.recv(4096)
+                time.sleep(delay)
+                with urllib.request.urlopen(f"http://{endpoint(self.upstream_port)}/status", timeout=2) as response:
+                    body = response.read()
+                connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            except OSError:
+                pass  # the instance gave up, or the upstream ended: an unanswered probe either way
+
+
 class Stage:
     """One running system: platform, instances, fabric, upstreams and callers."""
 
@@ -109,8 +165,9 @@
         for instance in self.instances:
             self.start_instance(instance)
 
-    def add_service(self, name, address, upstreams, extra=""):
-        """Starts upstream stand-ins for a service and writes its file. Returns the file's path."""
+    def add_service(self, name, address, upstreams, extra="", status_modes=()):
+        """Starts upstream stand-ins for a service and writes its file; the first ones are probed through a StatusProxy in the
+        modes given. Returns the file's path."""
         rows = []
         for number in range(upstreams):
             tunnel, status = free_ports(2)
@@ -123,7 +180,11 @@
                 f"--status={endpoint(status)}",
                 f"--name={name}-{number + 1}",
             )
-            self.upstreams.append({"service": name, "tunnel": tunnel, "status": status, "process": process})
+            proxy = None
+            if number < len(status_modes):
+                proxy = StatusProxy(free_ports(1)[0], status, status_modes[number])
+                status = proxy.port
+            self.upstreams.append({"service": name, "tunnel": tunnel, "status": status, "process": process, "proxy": proxy})
             rows.append(f'  - {{ip: {HOST}, port: {tunnel}, data_centre: dc-1, status: "{endpoint(status)}"}}')
         folder = self.path(name)
         os.makedirs(folder, exist_ok=True)
