--- a/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
+++ b/modules/sapphirespan_cookie/evidence/UpstreamEvidence.cpp
@@ -309,8 +309,11 @@
 
 bool mayResetFlows(const UpstreamEvidence &evidence, SteadyTime now)
 {
-    return evidence.state == Reachability::unreachable && !evidence.isHostSilenceRefuted && evidence.lastHostSilenceAt
-        && now - *evidence.lastHostSilenceAt<failureValidity && * evidence.lastHostSilenceAt> evidence.lastProgressAt;
+    if (evidence.state != Reachability::unreachable || evidence.isHostSilenceRefuted || !evidence.lastHostSilenceAt) {
+        return false;
+    }
+    const auto silentAt = *evidence.lastHostSilenceAt;
+    return now - silentAt < failureValidity && silentAt > evidence.lastProgressAt;
 }
 
 bool isVerificationDue(const UpstreamEvidence &evidence, SteadyTime now)
--- a/modules/sapphirespan_cookie/systems/CookieProbing.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieProbing.cpp
@@ -21,9 +21,9 @@
         && !isAvoided(evidence, state.now) && !isOpeningOverdue(evidence, state.now);
 }
 
-/** @returns the upstream to probe next as a control, or nullptr if none qualifies: preferably a local one, which remains reachable when the
-    path to another data centre is cut, and of these one with progress a moment ago, since others may have fallen silent together. @param
-   excludedHost host that a control would not be independent of, or nullptr */
+/** Chooses the upstream to probe next as a control: preferably a local one, which remains reachable when the path to another data centre is
+    cut, and of these one with progress a moment ago, since others may have fallen silent together.
+    @param excludedHost host of which a control has to be independent, or nullptr @returns nullptr if none qualifies */
 UpstreamRow *nextControl(CookieState &state, const IpAddress *excludedHost)
 {
     std::array<std::vector<UpstreamRow *>, 4> candidates; // best first: local with progress just now, or recently, other local, remote
