--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -199,7 +199,7 @@
 {
     const auto leave = [this] {
         const auto now = m_clock.steadyNow();
-        m_endBy = m_endBy.value_or(now + m_settings.leaveLimit - leaveMargin);
+        m_endBy = m_endBy.value_or(now + m_settings.leaveLimit - std::min(leaveMargin, m_settings.leaveLimit / 2));
         m_instance.leaveRequested(std::clamp<SteadyTime>(*m_endBy - shortestLeave, now, now + longestStay));
     };
     m_handles.push_back(m_loop.onSignal(SIGTERM, leave));
@@ -377,7 +377,24 @@
     }
 }
 
-/** Takes over what may change while the process runs; endpoints and names may not. */
+/** Takes over what may change while the process runs; endpoints and names may not. What is refused stays as it is, except that seeds
+    which can be read replace the earlier ones. */
+void CookieDaemon::takeOver(const CookieSettingsReading &reading)
+{
+    const auto &settings = reading.settings;
+    const auto isRefused = [&reading](const char *key) { return reading.refusedKeys.contains(key); };
+    if (!isRefused("seeds") || !settings.seeds.empty()) {
+        m_settings.seeds = settings.seeds;
+        m_instance.setSeeds(settings.seeds);
+    }
+    if (!isRefused("leave_limit")) {
+        m_settings.leaveLimit = settings.leaveLimit;
+    }
+    if (!isRefused("log_level")) {
+        m_log.setLevel(settings.logLevel);
+    }
+}
+
 void CookieDaemon::reload(bool isAsked)
 {
     FindingList findings;
@@ -390,18 +407,14 @@
     if (isFirst) {
         return;
     }
-    const auto settings = parseCookieSettings(m_settingsPath, *text, findings);
+    const auto reading = readCookieSettings(m_settingsPath, *text, findings);
     for (const auto &finding : findings.sorted()) {
         m_log.warning("settings_finding", fields({{"finding", toText(finding)}}));
     }
-    if (!settings) {
-        return;
+    if (reading.isReadable) {
+        takeOver(reading);
+        m_log.info("settings_reloaded");
     }
-    m_settings.seeds = settings->seeds;
-    m_settings.leaveLimit = settings->leaveLimit;
-    m_instance.setSeeds(settings->seeds);
-    m_log.setLevel(settings->logLevel);
-    m_log.info("settings_reloaded");
 }
 
 void CookieDaemon::logEvent(const CookieEvent &event)
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -41,6 +41,7 @@
     void fetchSnapshot(const SnapshotRequest &request);
     void tick();
     void checkLeaving();
+    void takeOver(const CookieSettingsReading &reading);
     void reload(bool isAsked);
     void logEvent(const CookieEvent &event);
     void logLeftOut();
--- a/apps/sapphirespand/main.cpp
+++ b/apps/sapphirespand/main.cpp
@@ -37,18 +37,19 @@
 
 int runWithCookies(const std::string &path, const std::string &text, sapphirespan::FindingList &findings)
 {
-    const auto settings = sapphirespan::parseCookieSettings(path, text, findings);
+    const auto reading = sapphirespan::readCookieSettings(path, text, findings);
     sapphirespan::printFindings(findings);
-    if (!settings) {
-        return sapphirespan::exitFindings;
-    }
     if (FLAGS_check_settings) {
-        return 0;
+        return findings.isEmpty() ? 0 : sapphirespan::exitFindings;
+    }
+    if (!reading.isStartable) {
+        return sapphirespan::exitFindings;
     }
+    const auto &settings = reading.settings;
     using sapphirespan::platform::EvacuationWatch;
     const sapphirespan::platform::PacketHead format;
-    const auto watch = settings->appliesEvacuations ? EvacuationWatch::on : EvacuationWatch::off;
-    sapphirespan::CookieDaemon daemon(*settings, path, format, [watch](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
+    const auto watch = settings.appliesEvacuations ? EvacuationWatch::on : EvacuationWatch::off;
+    sapphirespan::CookieDaemon daemon(settings, path, format, [watch](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
         return std::make_unique<sapphirespan::platform::StoreWatcher>(loop, store, std::random_device()(), watch);
     });
     return sapphirespan::runDaemon(daemon);
--- a/modules/sapphirespan_config/settings/CookieSettings.cpp
+++ b/modules/sapphirespan_config/settings/CookieSettings.cpp
@@ -2,14 +2,25 @@
 
 #include "sapphirespan_config/settings/SettingsReading.h"
 
+#include <algorithm>
+
 namespace sapphirespan {
 
 namespace {
 
 using namespace std::chrono_literals;
 
+/** The platform states how long a flow may last, and how long after SIGTERM it ends a process; any figure that it may state is taken. */
+constexpr Milliseconds shortestStatedTime {0};
+constexpr Milliseconds longestStatedTime = std::chrono::hours(24 * 365);
+
+/** Keys without which an instance cannot run, and which have no default. */
+constexpr std::array<std::string_view, 8> indispensableKeys {"instance",    "data_centre",      "listen",         "listen.ingress",
+                                                             "listen.peer", "listen.readiness", "listen.control", "platform"};
+
 void parseListen(YamlReader &reader, const YAML::Node &node, CookieSettings &settings)
 {
+    const YamlReader::Section section(reader, "listen");
     if (!reader.checkKeys(node, {"ingress", "readiness", "peer", "control"})) {
         return;
     }
@@ -21,6 +32,7 @@
 
 void parseAdmission(YamlReader &reader, const YAML::Node &node, AdmissionSettings &settings)
 {
+    const YamlReader::Section section(reader, "admission");
     if (reader.checkKeys(node, {"reject_in_overload", "share_among_routes", "spill_between_data_centres", "checks_opening_age"})) {
         settings.rejectsInOverload = settingsFlag(reader, node, "reject_in_overload", settings.rejectsInOverload);
         settings.sharesAmongRoutes = settingsFlag(reader, node, "share_among_routes", settings.sharesAmongRoutes);
@@ -31,6 +43,7 @@
 
 void parseWarmUp(YamlReader &reader, const YAML::Node &node, WarmUpSettings &settings)
 {
+    const YamlReader::Section section(reader, "warm_up");
     if (reader.checkKeys(node, {"budget", "overshoot", "slack"})) {
         settings.limitsColdUpstreams = settingsFlag(reader, node, "budget", settings.limitsColdUpstreams);
         settings.overshoot = reader.decimal(node, "overshoot", settings.overshoot, 1, 100);
@@ -40,6 +53,7 @@
 
 void parsePriorities(YamlReader &reader, const YAML::Node &node, PrioritySettings &settings)
 {
+    const YamlReader::Section section(reader, "priorities");
     if (reader.checkKeys(node,
                          {"enabled", "lowest_share", "reserved_share", "reserves_room", "orders_rejections", "same_answer_to_same_caller",
                           "limits_heavy_clients", "rejects_too_late"})) {
@@ -56,15 +70,15 @@
 
 void parseDataCentreChoice(YamlReader &reader, const YAML::Node &node, AdmissionSettings &settings)
 {
+    const YamlReader::Section section(reader, "data_centre_choice");
     if (!reader.checkKeys(node, {"mode", "ms_per_megabyte"})) {
         return;
     }
-    if (node["mode"].IsDefined()) {
-        const auto name = reader.text(node, "mode", true).value_or("");
-        if (const auto mode = valueOf<DataCentreChoice>(name)) {
+    if (const auto name = reader.text(node, "mode", false)) {
+        if (const auto mode = valueOf<DataCentreChoice>(*name)) {
             settings.dataCentreChoice = *mode;
         } else {
-            reader.addFinding(node["mode"], "own, ratio or forecast", name);
+            reader.addFinding(node["mode"], "mode", "own, ratio or forecast", *name);
         }
     }
     settings.msPerMegabyte = reader.decimal(node, "ms_per_megabyte", settings.msPerMegabyte, 0, 1e6);
@@ -84,36 +98,34 @@
 
 void parseRoot(YamlReader &reader, const YAML::Node &root, CookieSettings &settings)
 {
-    settings.name = settingsName(reader, root, "instance");
-    settings.dataCentre = settingsName(reader, root, "data_centre");
-    if (root["listen"].IsDefined()) {
-        parseListen(reader, root["listen"], settings);
-    } else {
-        reader.addFinding(root, "the key 'listen'", "none");
+    settings.name = settingsGivenName(reader, root, "instance");
+    settings.dataCentre = settingsGivenName(reader, root, "data_centre");
+    if (const auto listen = reader.node(root, "listen", true)) {
+        parseListen(reader, *listen, settings);
     }
     settings.platform = reader.endpoint(root, "platform", true).value_or(Endpoint {});
-    settings.seeds = settingsEndpoints(reader, root, "seeds", settings.control);
-    settings.isSeed = reader.sequence(root, "seeds", false).size() > settings.seeds.size();
+    settings.seeds = settingsEndpoints(reader, root, "seeds");
+    settings.isSeed = std::erase(settings.seeds, settings.control) > 0;
     settings.isFirstStart = settingsFlag(reader, root, "first_start");
     settings.logLevel = settingsLogLevel(reader, root);
-    settings.flowLifetime = reader.duration(root, "flow_lifetime", settings.flowLifetime, 1s, 24h);
+    settings.flowLifetime = reader.duration(root, "flow_lifetime", settings.flowLifetime, shortestStatedTime, longestStatedTime);
     constexpr std::uint16_t highestPort = 65535;
     settings.hostProbePort = static_cast<std::uint16_t>(reader.number(root, "host_probe_port", settings.hostProbePort, 1, highestPort));
-    if (root["admission"].IsDefined()) {
-        parseAdmission(reader, root["admission"], settings.admission);
+    if (const auto admission = reader.node(root, "admission", false)) {
+        parseAdmission(reader, *admission, settings.admission);
     }
     applyProfiles(reader, root, settings);
     settings.appliesEvacuations = settingsFlag(reader, root, "evacuations", settings.appliesEvacuations);
-    if (root["warm_up"].IsDefined()) {
-        parseWarmUp(reader, root["warm_up"], settings.warmUp);
+    if (const auto warmUp = reader.node(root, "warm_up", false)) {
+        parseWarmUp(reader, *warmUp, settings.warmUp);
     }
-    if (root["priorities"].IsDefined()) {
-        parsePriorities(reader, root["priorities"], settings.admission.priorities);
+    if (const auto priorities = reader.node(root, "priorities", false)) {
+        parsePriorities(reader, *priorities, settings.admission.priorities);
     }
-    if (root["data_centre_choice"].IsDefined()) {
-        parseDataCentreChoice(reader, root["data_centre_choice"], settings.admission);
+    if (const auto choice = reader.node(root, "data_centre_choice", false)) {
+        parseDataCentreChoice(reader, *choice, settings.admission);
     }
-    settings.leaveLimit = reader.duration(root, "leave_limit", settings.leaveLimit, 1s, 1h);
+    settings.leaveLimit = reader.duration(root, "leave_limit", settings.leaveLimit, shortestStatedTime, longestStatedTime);
 }
 
 } // namespace
@@ -128,24 +140,38 @@
     }
 }
 
-std::optional<CookieSettings> parseCookieSettings(const std::string &path, const std::string &text, FindingList &findings)
+CookieSettingsReading readCookieSettings(const std::string &path, const std::string &text, FindingList &findings)
 {
     FindingList mine;
-    YamlReader reader(path, mine);
-    CookieSettings settings;
+    YamlReader reader(path, mine, {.namesKeys = true, .emptyCountsAsMissing = true});
+    CookieSettingsReading reading;
     const auto root = reader.parse(text);
-    if (root
-        && reader.checkKeys(*root,
-                            {"steering", "instance", "data_centre", "listen", "platform", "seeds", "first_start", "log_level",
-                             "flow_lifetime", "leave_limit", "admission", "host_probe_port", "evacuations", "warm_up", "priorities",
-                             "data_centre_choice", "profiles"})) {
+    if (root && root->IsMap()) {
+        reading.isReadable = true;
+        reader.checkKeys(*root,
+                         {"steering", "instance", "data_centre", "listen", "platform", "seeds", "first_start", "log_level", "flow_lifetime",
+                          "leave_limit", "admission", "host_probe_port", "evacuations", "warm_up", "priorities", "data_centre_choice",
+                          "profiles"});
         const YAML::Node constant = *root;
-        parseRoot(reader, constant, settings);
+        parseRoot(reader, constant, reading.settings);
+    } else if (root) {
+        reader.addFinding(*root, "a map", describe(*root));
     }
     for (const auto &finding : mine.sorted()) {
         findings.add(finding.place, finding.expected, finding.found);
     }
-    return mine.isEmpty() ? std::optional(settings) : std::nullopt;
+    reading.refusedKeys = reader.refusedKeys();
+    reading.isStartable = reading.isReadable
+        && std::none_of(indispensableKeys.begin(), indispensableKeys.end(),
+                        [&reading](std::string_view key) { return reading.refusedKeys.contains(std::string(key)); });
+    return reading;
+}
+
+std::optional<CookieSettings> parseCookieSettings(const std::string &path, const std::string &text, FindingList &findings)
+{
+    auto reading = readCookieSettings(path, text, findings);
+    const bool isComplete = reading.isReadable && reading.refusedKeys.empty();
+    return isComplete ? std::optional(std::move(reading.settings)) : std::nullopt;
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_config/settings/CookieSettings.h
+++ b/modules/sapphirespan_config/settings/CookieSettings.h
@@ -3,6 +3,7 @@
 #include "sapphirespan_admission/sapphirespan_admission.h"
 #include "sapphirespan_base/sapphirespan_base.h"
 
+#include <set>
 #include <vector>
 
 namespace sapphirespan {
@@ -33,8 +34,22 @@
 /** @returns whether a settings file asks for cookie steering; anything that cannot be read does not. */
 bool asksForCookieSteering(const std::string &text);
 
-/** Reads a settings file. Keys without a value count as missing.
-    @returns nothing after recording findings. Thread safety: pure but for `findings`.
+/** What could be read of a settings file. */
+struct CookieSettingsReading {
+    CookieSettings settings; ///< with the defaults of keys that are refused or missing
+    std::set<std::string> refusedKeys; ///< keys with findings, and their sections, as "listen.peer"
+    bool isReadable = false; ///< false: nothing could be read
+    bool isStartable = false; ///< whether all keys without which an instance cannot run are there and were read
+};
+
+/** Reads a settings file, each key by itself: one that is refused takes its default, and of a list only the items that cannot be read
+    are left out. Keys without a value count as missing.
+    @param findings get what was refused, each with its key. Thread safety: pure but for them.
+*/
+CookieSettingsReading readCookieSettings(const std::string &path, const std::string &text, FindingList &findings);
+
+/** Reads a settings file as readCookieSettings() does.
+    @returns nothing if there are findings. Thread safety: pure but for `findings`.
 */
 std::optional<CookieSettings> parseCookieSettings(const std::string &path, const std::string &text, FindingList &findings);
 
--- a/modules/sapphirespan_config/settings/InstanceSettings.cpp
+++ b/modules/sapphirespan_config/settings/InstanceSettings.cpp
@@ -50,7 +50,8 @@
     settings.keyFile = reader.text(root, "key_file", true).value_or("");
     settings.mostFlowEntries = static_cast<std::uint32_t>(reader.number(root, "flow_entries", settings.mostFlowEntries, 1024, 64 << 20));
     settings.logLevel = settingsLogLevel(reader, root);
-    settings.seeds = settingsEndpoints(reader, root, "peers", settings.peer);
+    settings.seeds = settingsEndpoints(reader, root, "peers");
+    std::erase(settings.seeds, settings.peer);
     if (root["timing"].IsDefined()) {
         settings.timing = parseTiming(reader, root["timing"]);
     }
--- a/modules/sapphirespan_config/tests/SettingsTest.cpp
+++ b/modules/sapphirespan_config/tests/SettingsTest.cpp
@@ -157,3 +157,49 @@
         BOOST_TEST(!findings.isEmpty());
     }
 }
+
+/** Guards against a duration with a fraction that is refused, and against texts that are taken for one. */
+BOOST_AUTO_TEST_CASE(durationsMayBeFractions)
+{
+    const std::vector<std::pair<std::string, std::int64_t>> expected {
+        {"6.5s", 6500}, {"0.25s", 250}, {"0.0004s", 0}, {"2.5ms", 3}, {"1e3ms", 1000}, {"1.5h", 5'400'000}, {"366d", 366LL * 86'400'000},
+    };
+    for (const auto &[text, milliseconds] : expected) {
+        const auto duration = parseDuration(text);
+        BOOST_REQUIRE(duration);
+        BOOST_TEST(duration->count() == milliseconds);
+    }
+    for (const std::string wrong : {"", "s", "6.5", "6,5s", "-1s", ".5s", "infs", "nans", "trues", "1e30s", "367d", "6.5 s", "0x10s"}) {
+        BOOST_TEST(!parseDuration(wrong).has_value(), wrong);
+    }
+}
+
+/** Guards against a refused key that changes others, or that takes another value than its default. */
+BOOST_AUTO_TEST_CASE(aRefusedKeyTakesItsDefault)
+{
+    const std::string text = goodCookieSettings
+        + "admission: {reject_in_overload: maybe, share_among_routes: false}\npriorities: {lowest_share: 7}\nwarm_up: {budget: true, "
+          "slack: x}\n"
+          "log_level: loud\nunknown: 1\n";
+    FindingList findings;
+    const auto reading = readCookieSettings("s.yaml", text, findings);
+    BOOST_TEST(reading.isStartable);
+    const std::set<std::string> refused {"admission.reject_in_overload", "log_level", "priorities.lowest_share", "unknown",
+                                         "warm_up.slack"};
+    BOOST_TEST((reading.refusedKeys == refused));
+    CookieSettings expected = *parseCookieSettings("s.yaml", goodCookieSettings, findings);
+    expected.admission.sharesAmongRoutes = false;
+    expected.warmUp.limitsColdUpstreams = true;
+    BOOST_TEST((reading.settings == expected));
+}
+
+/** Guards against an instance that starts without what it cannot run without. */
+BOOST_AUTO_TEST_CASE(anIndispensableKeyIsNeededForAStart)
+{
+    for (const std::string key : {"instance", "data_centre", "platform", "ingress", "readiness", "peer", "control"}) {
+        auto text = goodCookieSettings;
+        text.replace(text.find(key + ":"), key.size(), "x" + key);
+        FindingList findings;
+        BOOST_TEST(!readCookieSettings("s.yaml", text, findings).isStartable, key);
+    }
+}
--- a/modules/sapphirespan_config/yaml/YamlReader.cpp
+++ b/modules/sapphirespan_config/yaml/YamlReader.cpp
@@ -15,6 +15,12 @@
 
 constexpr std::size_t longestQuotedText = 40;
 
+/** @returns a text in quotes, cut off if it is long. */
+std::string shortened(const std::string &text)
+{
+    return "'" + (text.size() > longestQuotedText ? text.substr(0, longestQuotedText) + "…" : text) + "'";
+}
+
 std::string rangeText(const std::string &kind, const std::string &lowest, const std::string &highest)
 {
     return kind + " from " + lowest + " to " + highest;
@@ -36,6 +42,18 @@
     return number;
 }
 
+/** @returns " in '...'" with the beginning of a line, which names its key. @param line from 0; one beyond the end means the last one */
+std::string lineText(const std::string &text, int line)
+{
+    std::istringstream stream(text);
+    std::string content;
+    std::string next;
+    for (int current = 0; current <= line && std::getline(stream, next); ++current) {
+        content = next;
+    }
+    return content.empty() ? "" : " in " + shortened(content);
+}
+
 std::string decimalText(double number)
 {
     std::ostringstream stream;
@@ -48,8 +66,7 @@
 std::string describe(const YAML::Node &node)
 {
     if (node.IsScalar()) {
-        const auto &scalar = node.Scalar();
-        return "'" + (scalar.size() > longestQuotedText ? scalar.substr(0, longestQuotedText) + "…" : scalar) + "'";
+        return shortened(node.Scalar());
     }
     return node.IsMap() ? "a map" : node.IsSequence() ? "a sequence" : "nothing";
 }
@@ -76,9 +93,22 @@
     return content.str();
 }
 
-YamlReader::YamlReader(std::string file, FindingList &findings)
+YamlReader::Section::Section(YamlReader &reader, const std::string &key)
+    : m_reader(reader)
+    , m_outerSize(reader.m_section.size())
+{
+    reader.m_section += key + ".";
+}
+
+YamlReader::Section::~Section()
+{
+    m_reader.m_section.resize(m_outerSize);
+}
+
+YamlReader::YamlReader(std::string file, FindingList &findings, YamlReaderOptions options)
     : m_file(std::move(file))
     , m_findings(findings)
+    , m_options(options)
 {
 }
 
@@ -95,7 +125,8 @@
         }
         m_findings.add({m_file, 1, 1}, "one YAML document", std::to_string(documents.size()));
     } catch (const YAML::Exception &exception) {
-        m_findings.add({m_file, exception.mark.line + 1, exception.mark.column + 1}, "valid YAML", exception.msg);
+        m_findings.add({m_file, exception.mark.line + 1, exception.mark.column + 1}, "valid YAML",
+                       exception.msg + (m_options.namesKeys ? lineText(text, exception.mark.line) : ""));
     } catch (const std::exception &exception) {
         m_findings.add({m_file, 1, 1}, "valid YAML", exception.what());
     }
@@ -108,9 +139,14 @@
     return {m_file, std::max(0, mark.line + 1), std::max(0, mark.column + 1)};
 }
 
-void YamlReader::addFinding(const YAML::Node &node, std::string expected, std::string found)
+void YamlReader::addFinding(const YAML::Node &node, const std::string &key, const std::string &expected, std::string found)
 {
-    m_findings.add(placeOf(node), std::move(expected), std::move(found));
+    auto path = m_section + key;
+    if (path.ends_with('.')) {
+        path.pop_back(); // the section as a whole
+    }
+    m_findings.add(placeOf(node), m_options.namesKeys && !path.empty() ? path + ": " + expected : expected, std::move(found));
+    m_refusedKeys.insert(std::move(path));
 }
 
 bool YamlReader::checkKeys(const YAML::Node &map, std::initializer_list<std::string_view> known)
@@ -127,9 +163,9 @@
     for (const auto &pair : map) {
         const auto key = pair.first.IsScalar() ? pair.first.Scalar() : std::string();
         if (std::find(known.begin(), known.end(), key) == known.end()) {
-            addFinding(pair.first, "one of the keys " + names, describe(pair.first));
+            addFinding(pair.first, key, "one of the keys " + names, describe(pair.first));
         } else if (!seen.insert(key).second) {
-            addFinding(pair.first, "each key once", "'" + key + "' again");
+            addFinding(pair.first, key, "each key once", "'" + key + "' again");
         }
     }
     return true;
@@ -139,11 +175,14 @@
 {
     for (const auto &pair : map) {
         if (pair.first.IsScalar() && pair.first.Scalar() == key) {
+            if (m_options.emptyCountsAsMissing && pair.second.IsNull()) {
+                break;
+            }
             return pair.second;
         }
     }
     if (isRequired) {
-        addFinding(map, std::string("the key '") + key + "' with " + expected, "none");
+        addFinding(map, key, std::string("the key '") + key + "' with " + expected, "none");
     }
     return YAML::Node(YAML::NodeType::Undefined);
 }
@@ -155,7 +194,7 @@
         return std::nullopt;
     }
     if (!node.IsScalar() || node.Scalar().empty()) {
-        addFinding(node, std::string("a text for '") + key + "'", describe(node));
+        addFinding(node, key, std::string("a text for '") + key + "'", describe(node));
         return std::nullopt;
     }
     return node.Scalar();
@@ -169,7 +208,7 @@
     }
     const auto value = wholeNumber<std::int64_t>(node);
     if (!value || *value < lowest || *value > highest) {
-        addFinding(node, rangeText("a whole number", std::to_string(lowest), std::to_string(highest)), describe(node));
+        addFinding(node, key, rangeText("a whole number", std::to_string(lowest), std::to_string(highest)), describe(node));
         return fallback;
     }
     return *value;
@@ -183,7 +222,7 @@
     }
     const auto value = wholeNumber<double>(node);
     if (!value || !std::isfinite(*value) || *value < lowest || *value > highest) {
-        addFinding(node, rangeText("a number", decimalText(lowest), decimalText(highest)), describe(node));
+        addFinding(node, key, rangeText("a number", decimalText(lowest), decimalText(highest)), describe(node));
         return fallback;
     }
     return *value;
@@ -198,7 +237,7 @@
     }
     const auto value = node.IsScalar() ? parseDuration(node.Scalar()) : std::nullopt;
     if (!value || *value < shortest || *value > longest) {
-        addFinding(node, rangeText("a duration (ms, s, m, h, d)", durationText(shortest), durationText(longest)), describe(node));
+        addFinding(node, key, rangeText("a duration (ms, s, m, h, d)", durationText(shortest), durationText(longest)), describe(node));
         return fallback;
     }
     return *value;
@@ -212,7 +251,7 @@
     }
     const auto value = node.IsScalar() ? Endpoint::parse(node.Scalar()) : std::nullopt;
     if (!value) {
-        addFinding(node, "a numeric ip:port", describe(node));
+        addFinding(node, key, "a numeric ip:port", describe(node));
     }
     return value;
 }
@@ -225,11 +264,17 @@
     }
     const auto value = node.IsScalar() ? IpAddress::parse(node.Scalar()) : std::nullopt;
     if (!value) {
-        addFinding(node, "a numeric IP address", describe(node));
+        addFinding(node, key, "a numeric IP address", describe(node));
     }
     return value;
 }
 
+std::optional<YAML::Node> YamlReader::node(const YAML::Node &map, const char *key, bool isRequired)
+{
+    const auto node = child(map, key, isRequired, "a value");
+    return node.IsDefined() ? std::optional(node) : std::nullopt;
+}
+
 std::vector<YAML::Node> YamlReader::sequence(const YAML::Node &map, const char *key, bool isRequired)
 {
     const auto node = child(map, key, isRequired, "a sequence");
@@ -237,7 +282,7 @@
         return {};
     }
     if (!node.IsSequence() || node.size() > longestYamlSequence || (isRequired && node.size() == 0)) {
-        addFinding(node, std::string("a sequence of ") + (isRequired ? "1" : "0") + " to 4096 items for '" + key + "'",
+        addFinding(node, key, std::string("a sequence of ") + (isRequired ? "1" : "0") + " to 4096 items for '" + key + "'",
                    node.IsSequence() ? std::to_string(node.size()) + " items" : describe(node));
         return {};
     }
