Take over a change of the settings file that comes just after the start

Callers saw: nothing by itself; new seeds and times were not taken over until the next change of the file.

Cause: the first look at the file, 2 s after the start, took what it read for the content that the instance had started with. Now the text that was read at the start is compared. Process.settings, "a change of the file just after the start is taken over without a signal": failed before, holds now.

--- a/apps/sapphirespand/CookieDaemon.cpp
+++ b/apps/sapphirespand/CookieDaemon.cpp
@@ -100,10 +100,10 @@
 
 } // namespace
 
-CookieDaemon::CookieDaemon(const CookieSettings &settings, std::string settingsPath, const PacketFormat &format,
+CookieDaemon::CookieDaemon(const CookieSettings &settings, SettingsFile settingsFile, const PacketFormat &format,
                            const SourceMaker &makeSource)
     : m_settings(settings)
-    , m_settingsPath(std::move(settingsPath))
+    , m_settingsFile(std::move(settingsFile))
     , m_log(settings.name, settings.logLevel)
     , m_instance(decisionSettings(settings, m_clock), format, m_clock)
     , m_source(makeSource(m_loop, settings.platform))
@@ -398,16 +398,12 @@
 void CookieDaemon::reload(bool isAsked)
 {
     FindingList findings;
-    const auto text = readTextFile(m_settingsPath, findings);
-    if (!text || (!isAsked && *text == m_settingsText)) {
+    const auto text = readTextFile(m_settingsFile.path, findings);
+    if (!text || (!isAsked && *text == m_settingsFile.text)) {
         return;
     }
-    const bool isFirst = m_settingsText.empty() && !isAsked;
-    m_settingsText = *text;
-    if (isFirst) {
-        return;
-    }
-    const auto reading = readCookieSettings(m_settingsPath, *text, findings);
+    m_settingsFile.text = *text;
+    const auto reading = readCookieSettings(m_settingsFile.path, *text, findings);
     for (const auto &finding : findings.sorted()) {
         m_log.warning("settings_finding", fields({{"finding", toText(finding)}}));
     }
--- a/apps/sapphirespand/CookieDaemon.h
+++ b/apps/sapphirespand/CookieDaemon.h
@@ -10,6 +10,12 @@
 
 namespace sapphirespan {
 
+/** A settings file with the content that was read of it last. */
+struct SettingsFile {
+    std::string path;
+    std::string text;
+};
+
 /** One instance with cookie steering as a process: connects the decisions to sockets, the store and signals.
 
     Thread safety: none; everything runs on the loop of run().
@@ -20,8 +26,8 @@
     /** Makes the source of routes and upstreams, once the loop exists. */
     using SourceMaker = std::function<std::unique_ptr<StoreDataSource>(EventLoop &loop, const Endpoint &platform)>;
 
-    /** @param settingsPath file that is read again when it changes @param format outlives the daemon */
-    CookieDaemon(const CookieSettings &settings, std::string settingsPath, const PacketFormat &format, const SourceMaker &makeSource);
+    /** @param settingsFile is read again when it changes @param format outlives the daemon */
+    CookieDaemon(const CookieSettings &settings, SettingsFile settingsFile, const PacketFormat &format, const SourceMaker &makeSource);
 
     /** Binds the endpoints. @returns false, with the reason, when one cannot be bound */
     bool start(LastReason &reason);
@@ -47,8 +53,7 @@
     void logLeftOut();
 
     CookieSettings m_settings;
-    std::string m_settingsPath;
-    std::string m_settingsText;
+    SettingsFile m_settingsFile;
     SystemClock m_clock;
     JsonLog m_log;
     FlowLineSampler m_flowLines;
--- a/apps/sapphirespand/main.cpp
+++ b/apps/sapphirespand/main.cpp
@@ -49,9 +49,10 @@
     using sapphirespan::platform::EvacuationWatch;
     const sapphirespan::platform::PacketHead format;
     const auto watch = settings.appliesEvacuations ? EvacuationWatch::on : EvacuationWatch::off;
-    sapphirespan::CookieDaemon daemon(settings, path, format, [watch](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
-        return std::make_unique<sapphirespan::platform::StoreWatcher>(loop, store, std::random_device()(), watch);
-    });
+    sapphirespan::CookieDaemon daemon(
+        settings, {path, text}, format, [watch](sapphirespan::EventLoop &loop, const sapphirespan::Endpoint &store) {
+            return std::make_unique<sapphirespan::platform::StoreWatcher>(loop, store, std::random_device()(), watch);
+        });
     return sapphirespan::runDaemon(daemon);
 }
 
--- a/standins/harness/settings_test.py
+++ b/standins/harness/settings_test.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """One instance whose settings file changes while it starts and runs, each time with a value that it refuses.
 
-Guards against one bad key that keeps an instance from starting, or that holds back new seeds.
+Guards against one bad key that keeps an instance from starting or that holds back new seeds, and against a change of the file that
+is missed because it comes soon after the start.
 
 Usage: settings_test.py BUILD_FOLDER. Exit code 0 only when all holds.
 """
@@ -85,8 +86,7 @@
             expect(wait_for(lambda: "instance_started" in log_path.read_text()), "an instance starts with a key that is refused")
             expect("leave_limit" in log_path.read_text(), "it names the key")
             replace(path, settings([seeds[0].text], "6.5s"))
-            process.send_signal(signal.SIGHUP)
-            expect(wait_for(seeds[0].hears), "a change of the file is taken over")
+            expect(wait_for(seeds[0].hears), "a change of the file just after the start is taken over without a signal")
             replace(path, settings([seeds[1].text], "6,5s"))
             process.send_signal(signal.SIGHUP)
             expect(wait_for(seeds[1].hears), "a refused key does not hold back seeds that are good")
