--- a/modules/sapphirespan_cookie/instance/CookieInstance.cpp
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.cpp
@@ -121,18 +121,23 @@
 
 void CookieInstance::storeConfirmed(StoreDataKind part, std::uint64_t revision)
 {
-    if (isReadingBacklog(*m_state)) {
-        raiseConfirmedRevision(*m_state, part, revision);
+    auto &state = *m_state;
+    if (isReadingBacklog(state)) {
+        raiseConfirmedRevision(state, part, revision);
     } else {
-        confirmStoreData(*m_state, part, revision, m_state->now);
+        const bool wasOutOfReach = storeDataAge(state) > outOfReachStoreDataAge;
+        confirmStoreData(state, part, revision, state.now);
+        const bool isFoundAgain = wasOutOfReach && storeDataAge(state) <= outOfReachStoreDataAge;
+        state.isReportUrgent = state.isReportUrgent || isFoundAgain; // spares the peers a query by the age of their data
     }
-    m_state->storeFailedAt.reset();
+    state.storeFailedAt.reset();
 }
 
 void CookieInstance::storeFailed()
 {
     m_state->isReportUrgent = m_state->isReportUrgent || !m_state->storeFailedAt;
     m_state->storeFailedAt = m_state->now;
+    updateStoreWatch(*m_state); // an instance that asks by the age of its data does so once
 }
 
 void CookieInstance::snapshotArrived(const StoreDataSnapshot &snapshot)
--- a/modules/sapphirespan_cookie/peers/PeerTable.cpp
+++ b/modules/sapphirespan_cookie/peers/PeerTable.cpp
@@ -93,11 +93,11 @@
     std::erase_if(m_rows, [now](const auto &item) { return now - item.second.lastAliveAt > peerRetentionPeriod; });
 }
 
-std::vector<PeerTable::RankedInstance> PeerTable::rankedInstances(SteadyTime now) const
+std::vector<PeerTable::RankedInstance> PeerTable::rankedInstances(SteadyTime now, Milliseconds maxSilence) const
 {
     std::vector<RankedInstance> instances {{nullptr, false, 0, rankKey(m_self.dataCentre), rankKey(m_self.name)}};
     for (const auto &[name, row] : m_rows) {
-        if (isAlive(row, now)) {
+        if (now - row.lastAliveAt < maxSilence) {
             instances.push_back({&row, row.ranksByNameOnly, 0, rankKey(row.descriptor.dataCentre), rankKey(name)});
         }
     }
@@ -183,19 +183,12 @@
     return memberCount > 1 && availableCount + 1 < memberCount && 2 * availableCount < memberCount;
 }
 
-std::size_t PeerTable::rankForStoreQuery(bool selfReachesStore, SteadyTime now) const
+StoreQueryRank PeerTable::rankForStoreQuery(SteadyTime now) const
 {
-    std::size_t rank = 0;
-    std::size_t skipped = 0;
-    for (const auto &instance : rankedInstances(now)) {
-        if (instance.row == nullptr) {
-            break;
-        }
-        const bool isElsewhere = instance.row->descriptor.dataCentre != m_self.dataCentre;
-        const bool isSkipped = selfReachesStore && isElsewhere && !instance.row->reachesStore && skipped < maxSkippedPeers;
-        ++(isSkipped ? skipped : rank);
-    }
-    return rank;
+    const auto instances = rankedInstances(now, peerPresenceTimeout);
+    const auto self
+        = std::find_if(instances.begin(), instances.end(), [](const RankedInstance &instance) { return instance.row == nullptr; });
+    return {static_cast<std::size_t>(self - instances.begin()), instances.size()};
 }
 
 std::size_t PeerTable::rankInDataCentre(SteadyTime now) const
@@ -211,7 +204,7 @@
     std::vector<Endpoint> targets; // in the same data centre; those in others are appended last
     std::vector<Endpoint> otherDataCentres;
     for (const auto &[name, row] : m_rows) {
-        if (now - row.lastAliveAt < 4 * peerLivenessTimeout) { // a partition may heal, so silent peers still get reports for a while
+        if (now - row.lastAliveAt < peerPresenceTimeout) {
             (row.descriptor.dataCentre == m_self.dataCentre ? targets : otherDataCentres).push_back(row.descriptor.reportEndpoint);
         }
     }
--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -37,15 +37,16 @@
 inline constexpr Milliseconds restartSilenceThreshold {900};
 inline constexpr Milliseconds restartTimeout {6000};
 
+/** Time without a sign of life up to which a peer may still be there: it gets reports, since a network partition may heal, and in a large
+    fleet only a part of the peers is heard of within peerLivenessTimeout. */
+inline constexpr Milliseconds peerPresenceTimeout = 4 * peerLivenessTimeout;
+
 /** Time without a sign of life after which a peer is removed from the table. */
 inline constexpr Milliseconds peerRetentionPeriod {60000};
 
 /** Number of instances that watch the store at the same time. Two, so that losing one causes no delay. */
 inline constexpr std::size_t storeWatcherCount = 2;
 
-/** Maximum number of peers that rankForStoreQuery() leaves out. */
-inline constexpr std::size_t maxSkippedPeers = 8;
-
 /** Fleet size, including this instance, up to which each instance reports to every other one. */
 inline constexpr std::size_t fullMeshMaxInstances = 12;
 
@@ -65,6 +66,12 @@
     count
 };
 
+/** Rank of an instance in the order in which instances query the store when nobody seems to do so. */
+struct StoreQueryRank {
+    std::size_t index = 0; ///< from 0
+    std::size_t instanceCount = 1; ///< of the fleet, as far as they are known
+};
+
 /** The other instances of the fleet, by name, and the decisions that depend on which of them are alive.
 
     Instances have a rank in an order in which the data centres take turns: the first instance of each data centre, then the
@@ -125,10 +132,10 @@
         return m_rows.size() < fullMeshMaxInstances;
     }
 
-    /** @returns this instance's rank among those alive, from 0. Used to stagger queries of the store that any instance may make
-        but only a few should. If this instance reaches the store, peers of other data centres that do not are left out, at most
-        maxSkippedPeers of them, so that not all instances query a store that is out of reach for all. */
-    std::size_t rankForStoreQuery(bool selfReachesStore, SteadyTime now) const;
+    /** @returns this instance's rank among those heard of within peerPresenceTimeout, whether or not they reach the store. Used to stagger
+        queries of the store that any instance may make but only a few should. All instances of a fleet agree on it, but for those
+        that started or ended within that time. */
+    StoreQueryRank rankForStoreQuery(SteadyTime now) const;
 
     /** @returns this instance's rank among those alive in its own data centre, from 0. */
     std::size_t rankInDataCentre(SteadyTime now) const;
@@ -169,8 +176,8 @@
         std::uint64_t key = 0;
     };
 
-    /** @returns the instances that are alive, and this one, in the order of their ranks. */
-    std::vector<RankedInstance> rankedInstances(SteadyTime now) const;
+    /** @returns the instances heard of within a time, and this one, in the order of their ranks. */
+    std::vector<RankedInstance> rankedInstances(SteadyTime now, Milliseconds maxSilence = peerLivenessTimeout) const;
 
     bool isFirstByNameOnly(SteadyTime now) const;
 
--- a/modules/sapphirespan_cookie/systems/CookieEvacuationSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieEvacuationSystem.cpp
@@ -189,8 +189,7 @@
     if (!state.settings.appliesEvacuations || evacuationListAge(state) <= unwatchedListAge) {
         return false;
     }
-    const auto rank = static_cast<std::int64_t>(state.peers.rankForStoreQuery(false, state.now));
-    return evacuationListAge(state) > unwatchedListAge + unwatchedDelayPerRank * rank;
+    return evacuationListAge(state) > unwatchedListAge + unwatchedDelayPerRank * state.peers.rankForStoreQuery(state.now).index;
 }
 
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePeerSystem.cpp
@@ -6,6 +6,7 @@
 #include "sapphirespan_cookie/systems/CookieVerdictSystem.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sapphirespan {
 
@@ -24,14 +25,31 @@
 /** Time after the start during which an instance does not watch the store by rank, because it may not know its peers yet. */
 constexpr Milliseconds peerDiscoveryTime {800};
 
-/** Age of store data at which an instance queries the store although it is not among the watchers by rank. With two
-    watchers whose blocking queries last a second, data is rarely older than half of this. */
-constexpr Milliseconds fallbackWatchAge {2200};
-
-/** Number of first ranks that apply this age, on behalf of all peers that they hear, and the age at which the others query
-    the store as well. */
-constexpr std::size_t fallbackWatcherCount = 4;
+/** Age of store data at which the first instance by rank queries the store although it is not among the watchers. With two
+    watchers whose blocking queries last a second, data is rarely older than half of this. Where not all instances report to each
+    other, confirmations take longer to come round. */
+constexpr Milliseconds fallbackWatchAge {2000};
+constexpr Milliseconds fallbackWatchAgeOfLargeFleet {2200};
+
+/** Additional age in which the number of instances that have queried the store doubles, and the number from which it does. In the
+    smallest fleets, whose bounds are 3 s, this leaves a few tenths of a second when a third has asked in vain. */
+constexpr Milliseconds fallbackDoublingTime {150};
+constexpr double firstFallbackWatchers = 2;
+
+/** Share of the instances that query the store by the age of their data. The store may turn away 0.35 of a fleet, also each instance that
+    queries it; the rest allows for ranks that differ between instances. Small fleets query as a whole; the maximum keeps a large
+    one from pressing on a store that is silent to all. */
+constexpr double fallbackWatcherShare = 0.45;
+constexpr std::size_t minFallbackWatchers = 12;
+constexpr std::size_t maxFallbackWatchers = 96;
+
+/** Number of first ranks that go on querying the store while it is silent, and time that the others wait after a failed call. */
+constexpr std::size_t persistentFallbackWatchers = 4;
+constexpr Milliseconds fallbackRetryDelay {8000};
+
+/** Age at which the other instances begin to query the store as well, and additional age for each rank. */
 constexpr Milliseconds lateFallbackWatchAge {10000};
+constexpr Milliseconds lateFallbackDelayPerRank {20};
 
 /** Store data younger than this shows that another instance is watching: it allows for one blocking query of the watcher
     and for a few hops between peers. */
@@ -45,16 +63,11 @@
     them through others. */
 constexpr Milliseconds takeoverDelay {250};
 
-/** Number of live peers without access to the store that shows that the store is unreachable from this side as a whole. The
-    remaining instances then take over one after the other, at this interval, instead of all at once. */
+/** Number of live peers without access to the store from which the next by rank do not try one after the other. They take over once data
+    is fresh, which shows that the store serves others, after this time; until then instances query by the age of their data only. */
 constexpr std::ptrdiff_t storeOutagePeerCount = 8;
 constexpr Milliseconds outageTakeoverDelay {500};
 
-/** Additional delay per rank before the fallback to the store, and the rank up to which it grows, so that the fleet does not
-    query the store all at once. */
-constexpr Milliseconds delayPerRank {150};
-constexpr std::size_t maxStaggeredRank = 6;
-
 /** Time after a failed store call after which this instance again counts and reports the store as reachable. */
 constexpr Milliseconds storeRetryDelay {5000};
 
@@ -200,23 +213,38 @@
     const auto peersWithoutStore = std::count_if(
         rows.begin(), rows.end(), [&state](const auto &item) { return isAlive(item.second, state.now) && !item.second.reachesStore; });
     const auto topRankedFor = state.topRankedSince ? state.now - *state.topRankedSince : Microseconds(0);
+    const bool isFresh = storeDataAge(state) <= freshStoreDataAge;
     if (peersWithoutStore >= storeOutagePeerCount) {
-        return topRankedFor >= outageTakeoverDelay;
+        return isFresh && topRankedFor >= outageTakeoverDelay;
+    }
+    return topRankedFor >= rankSettlingTime || peersWithoutStore > 0 || (topRankedFor >= takeoverDelay && !isFresh);
+}
+
+/** @returns the age of store data at which an instance queries the store although it is not among the watchers. It depends on nothing
+    that peers report of their access to the store: whoever the store turns away, and whether or not that is known yet, more
+    instances than it may turn away have asked within a time that grows with the logarithm of their number. */
+Milliseconds ageToQueryAt(const PeerTable &peers, const StoreQueryRank &rank)
+{
+    const auto share = static_cast<std::size_t>(fallbackWatcherShare * static_cast<double>(rank.instanceCount));
+    const auto watchers = std::clamp(share, minFallbackWatchers, maxFallbackWatchers);
+    if (rank.index >= watchers) {
+        return lateFallbackWatchAge + lateFallbackDelayPerRank * (rank.index - watchers);
     }
-    return topRankedFor >= rankSettlingTime || peersWithoutStore > 0
-        || (topRankedFor >= takeoverDelay && storeDataAge(state) > freshStoreDataAge);
+    const auto doublings = std::log2(1 + static_cast<double>(rank.index) / firstFallbackWatchers);
+    const auto first = peers.isFullMesh() ? fallbackWatchAge : fallbackWatchAgeOfLargeFleet;
+    return first + std::chrono::duration_cast<Milliseconds>(fallbackDoublingTime * doublings);
 }
 
-/** @returns whether store data is so old that this instance should query the store although it is not among the watchers. Among
-    peers that hear each other the first few ranks query for all. */
+/** @returns whether store data is so old that this instance should query the store although it is not among the watchers. */
 bool isFallbackWatchDue(const CookieState &state)
 {
     if (storeDataAge(state) <= fallbackWatchAge) {
         return false;
     }
-    const auto rank = state.peers.rankForStoreQuery(isStoreReachable(state), state.now);
-    const auto watchAge = rank < fallbackWatcherCount ? fallbackWatchAge : lateFallbackWatchAge;
-    return storeDataAge(state) > watchAge + delayPerRank * std::min(rank, maxStaggeredRank);
+    const auto rank = state.peers.rankForStoreQuery(state.now);
+    const bool mayQuery
+        = rank.index < persistentFallbackWatchers || !state.storeFailedAt || state.now - *state.storeFailedAt > fallbackRetryDelay;
+    return mayQuery && storeDataAge(state) > ageToQueryAt(state.peers, rank);
 }
 
 std::vector<Endpoint> unknownSeedEndpoints(const CookieState &state)
@@ -342,7 +370,7 @@
             reason = WatchReason::topRanked;
         } else if (isFallbackWatchDue(state) || isEvacuationWatchDue(state)) {
             reason = WatchReason::staleStoreData;
-        } else if (isMinDurationRunning) {
+        } else if (isMinDurationRunning && isStoreReachable(state)) {
             reason = state.watchReason;
         }
     }
--- a/modules/sapphirespan_cookie/tests/StoreOutageTest.cpp
+++ b/modules/sapphirespan_cookie/tests/StoreOutageTest.cpp
@@ -6,6 +6,7 @@
 #include "sapphirespan_cookie/peers/PeerTable.h"
 #include "sapphirespan_cookie/state/CookieState.h"
 
+#include <cmath>
 #include <set>
 
 using namespace sapphirespan;
@@ -70,9 +71,109 @@
         limit);
 }
 
+/** @returns the time in which a further route, without traffic, is known to all that the store serves. */
+Milliseconds timeToLearnOfARoute(CookieFleetModel &fleet, Milliseconds limit)
+{
+    auto routes = fleet.routes;
+    auto added = routes.front();
+    added.address.port = static_cast<std::uint16_t>(added.address.port + routes.size());
+    routes.push_back(added);
+    fleet.configure(routes);
+    return timeToLearn(
+        fleet, [&added](const CookieState &state) { return state.routes.find(added.address) != nullptr; }, limit);
+}
+
 constexpr Milliseconds drainBoundOfSmallFleets {3000};
 constexpr Milliseconds boundOfLargeFleets {5000};
 
+/** Fleets of the deployments, and some in between. */
+const std::vector<std::vector<int>> fleetSizes {{3, 2, 2}, {3, 3, 3}, {4, 3, 3}, {6, 6, 6}, {16, 16, 16}, {18, 20, 15, 15}, {65, 65, 65}};
+
+Milliseconds changeBoundOf(const CookieFleetModel &fleet)
+{
+    constexpr std::size_t largestSmallFleet = 12;
+    return fleet.instances.size() <= largestSmallFleet ? drainBoundOfSmallFleets : boundOfLargeFleets;
+}
+
+/** In which order a store turns instances away. */
+enum class TurningOrder : std::uint8_t {
+    callers, ///< each instance that calls, with the first call
+    onceServed, ///< each instance that calls, from its second call on
+    random, ///< all at once, drawn at random
+    byDataCentre, ///< all at once, one data centre after the other
+    refused, ///< as callers, but calls fail at once
+};
+
+/** Turns away up to the largest share of a fleet, by silence unless the order says otherwise, as long as it exists. */
+class TurningStore
+{
+public:
+    explicit TurningStore(CookieFleetModel &fleet, TurningOrder order = TurningOrder::callers)
+        : m_fleet(fleet)
+        , m_order(order)
+        , m_most(static_cast<std::size_t>(std::ceil(largestShare * static_cast<double>(fleet.instances.size()))))
+    {
+        std::vector<ModelInstance *> instances;
+        for (auto &instance : fleet.instances) {
+            instances.push_back(&instance);
+        }
+        if (order == TurningOrder::random) {
+            std::shuffle(instances.begin(), instances.end(), std::mt19937_64(7));
+        }
+        if (order == TurningOrder::random || order == TurningOrder::byDataCentre) {
+            for (std::size_t index = 0; index < m_most; ++index) {
+                turnAway(*instances[index]);
+            }
+        }
+        for (auto *instance : instances) { // also those whose call waits for its answer
+            if (instance->decisions->shouldQueryStore() && takesCaller(*instance)) {
+                turnAway(*instance);
+            }
+        }
+        fleet.turnsAway = [this](const ModelInstance &instance) { return takesCaller(instance); };
+    }
+
+    ~TurningStore()
+    {
+        m_fleet.turnsAway = nullptr;
+    }
+
+    TurningStore(const TurningStore &) = delete;
+    TurningStore &operator=(const TurningStore &) = delete;
+
+    std::size_t turnedAway() const
+    {
+        return m_turnedAway.size();
+    }
+
+private:
+    static constexpr double largestShare = 0.35;
+
+    void turnAway(ModelInstance &instance)
+    {
+        m_turnedAway.insert(instance.name);
+        (m_order == TurningOrder::refused ? instance.reachesStore : instance.isStoreSilent) = m_order != TurningOrder::refused;
+    }
+
+    /** @returns whether the store is silent to a caller from now on. */
+    bool takesCaller(const ModelInstance &instance)
+    {
+        const bool isOrderOfCalls = m_order != TurningOrder::random && m_order != TurningOrder::byDataCentre;
+        const bool isServedOnce = m_order == TurningOrder::onceServed && m_served.insert(instance.name).second;
+        if (!isOrderOfCalls || isServedOnce || m_turnedAway.contains(instance.name) || m_turnedAway.size() >= m_most) {
+            return false;
+        }
+        turnAway(m_fleet.instances[static_cast<std::size_t>(&instance - m_fleet.instances.data())]);
+        return m_order != TurningOrder::refused;
+    }
+
+    CookieFleetModel &m_fleet;
+    TurningOrder m_order;
+    std::size_t m_most;
+    std::set<std::string> m_turnedAway;
+    std::set<std::string> m_served;
+};
+
 /** @returns a table of one instance that has heard from all others. */
 PeerTable tableOf(const std::vector<PeerDescriptor> &fleet, std::size_t self, const std::function<bool(std::size_t)> &isEarlierRelease,
                   SteadyTime now)
@@ -126,7 +227,7 @@
         for (std::size_t self = 0; self < fleet.size(); ++self) {
             const auto table = tableOf(
                 fleet, self, [](std::size_t) { return false; }, now);
-            byRank[table.rankForStoreQuery(true, now)] = fleet[self].dataCentre;
+            byRank[table.rankForStoreQuery(now).index] = fleet[self].dataCentre;
             if (table.shouldWatchStore(true, storeWatcherCount, now)) {
                 watching.push_back(fleet[self].dataCentre);
             }
@@ -234,6 +335,70 @@
     }
 }
 
+/** Guards against openings at draining upstreams (DRAIN) and at the services of earlier configurations (CONFIG) while the store turns away
+    whoever calls it, up to the largest share of the fleet, and lets the others go on with what they know (review/12). */
+BOOST_AUTO_TEST_CASE(changesComeInTimeWhoeverTheStoreTurnsAway)
+{
+    for (const auto &sizes : fleetSizes) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            auto settings = namedByDataCentre(sizes, seed);
+            auto fleet = warmFleet(settings);
+            fleet->run(seed * 170ms); // at another time since the store was last asked
+            TurningStore store(*fleet);
+            Milliseconds latest {0};
+            const auto bound = changeBoundOf(*fleet);
+            for (int change = 0; change < 3; ++change) { // who asks after those that were turned away is put to the test as well
+                latest = std::max({latest, timeToLearnOfADrain(*fleet, 2 * bound), timeToLearnOfARoute(*fleet, 2 * bound)});
+            }
+            BOOST_TEST_MESSAGE(fleet->instances.size()
+                               << " instances, " << store.turnedAway() << " turned away: changes known after " << latest.count() << " ms");
+            BOOST_TEST(latest.count() < bound.count());
+            auto counts = fleet->takeCounts();
+            if (bound > drainBoundOfSmallFleets) {
+                counts.placedOnDraining = 0; // counted by the shorter bound
+            }
+            checkSafety(counts);
+        }
+    }
+}
+
+/** Guards against a bound that holds for one order only in which the store turns instances away. */
+BOOST_AUTO_TEST_CASE(changesComeInTimeInWhicheverOrderTheStoreTurnsInstancesAway)
+{
+    for (const auto order : {TurningOrder::onceServed, TurningOrder::random, TurningOrder::byDataCentre, TurningOrder::refused}) {
+        for (const auto &sizes : fleetSizes) {
+            auto settings = namedByDataCentre(sizes, 4);
+            auto fleet = warmFleet(settings);
+            TurningStore store(*fleet, order);
+            const auto bound = changeBoundOf(*fleet);
+            Milliseconds latest {0};
+            for (int change = 0; change < 3; ++change) {
+                latest = std::max({latest, timeToLearnOfADrain(*fleet, 2 * bound), timeToLearnOfARoute(*fleet, 2 * bound)});
+            }
+            BOOST_TEST_MESSAGE(fleet->instances.size()
+                               << " instances, order " << static_cast<int>(order) << ": " << latest.count() << " ms");
+            BOOST_TEST(latest.count() < bound.count());
+        }
+    }
+}
+
+/** Guards against the same for orders to empty a data centre. */
+BOOST_AUTO_TEST_CASE(ordersComeInTimeWhoeverTheStoreTurnsAway)
+{
+    for (const auto &sizes : std::vector<std::vector<int>> {{3, 2, 2}, {16, 16, 16}, {65, 65, 65}}) {
+        auto settings = namedByDataCentre(sizes, 5);
+        settings.appliesEvacuations = true;
+        auto fleet = warmFleet(settings);
+        TurningStore store(*fleet);
+        const auto &evacuated = settings.dataCentres.back();
+        fleet->order(evacuated);
+        const auto passed = timeToLearn(
+            *fleet, [&evacuated](const CookieState &state) { return state.evacuations.isInForce(evacuated); }, 2 * boundOfLargeFleets);
+        BOOST_TEST_MESSAGE(fleet->instances.size() << " instances: an order is known after " << passed.count() << " ms");
+        BOOST_TEST(passed.count() < boundOfLargeFleets.count());
+    }
+}
+
 /** Guards against a fleet that presses on a store which is silent to all: only a few instances ask at a time, however many there are. */
 BOOST_AUTO_TEST_CASE(aSilentStoreIsAskedByAFewInstancesOfEachDataCentre)
 {
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.cpp
@@ -436,9 +436,11 @@
     const auto now = clock.steadyNow();
     for (std::size_t index = 0; index < instances.size(); ++index) {
         auto &instance = instances[index];
+        instance.isResumingWatch = instance.isResumingWatch || !instance.isRunning || !instance.decisions->shouldQueryStore();
         if (!instance.isRunning || !instance.decisions->shouldQueryStore() || now < instance.nextStoreAnswer) {
             continue;
         }
+        instance.isStoreSilent = instance.isStoreSilent || (turnsAway && turnsAway(instance));
         if (instance.isStoreSilent || instance.silentCallEndsAt) {
             waitForSilentStore(instance);
             continue;
@@ -447,7 +449,8 @@
         instance.seenRevision = std::max(instance.seenRevision, decisions.storeRevisions().upstreams);
         const bool hasNews = instance.seenRevision < m_revision;
         ++instance.storeCalls;
-        instance.nextStoreAnswer = now + storeDelay + (hasNews ? Milliseconds(0) : watchTime);
+        const bool isAnsweredAtOnce = std::exchange(instance.isResumingWatch, false) || hasNews;
+        instance.nextStoreAnswer = now + storeDelay + (isAnsweredAtOnce ? Milliseconds(0) : watchTime);
         if (isStoreAway || !instance.reachesStore) {
             decisions.beginBatch();
             decisions.storeFailed();
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -199,6 +199,7 @@
     std::uint64_t seenOrders = 0; ///< ordered revision up to which it was told the evacuation orders
     SteadyTime nextOrdersAnswer {};
     bool appliesEvacuations = false; ///< from its next start; an instance of an earlier release does not
+    bool isResumingWatch = true; ///< it was not answered since it began to watch; its first watch is answered at once
     int storeCalls = 0;
     int storeLists = 0; ///< of them, those that asked for everything
     int starts = 0;
@@ -291,6 +292,8 @@
     IsCut isCut; ///< between instances, and from instances to upstreams
     bool doCutsRefuse = false; ///< connection attempts across a cut are refused; else they are left unanswered
     bool isStoreAway = false;
+    /** Asked at each call to the store: whether it is silent to this instance from now on; empty if to none. */
+    std::function<bool(const ModelInstance &)> turnsAway;
     ManualClock clock;
 
 private:
