--- a/apps/sapphirespand/CookieMetrics.cpp
+++ b/apps/sapphirespand/CookieMetrics.cpp
@@ -37,7 +37,8 @@
           Fate {"reset_no_upstream", accounts.resetNoUpstream}, Fate {"reset_overload", accounts.resetOverload},
           Fate {"reset_evacuated", accounts.resetEvacuated}, Fate {"reset_dark", accounts.resetUpstreamUnreachable},
           Fate {"reset_gone", accounts.resetUpstreamDeparted}, Fate {"dropped_malformed", accounts.droppedMalformed},
-          Fate {"dropped_unknown_cookie", accounts.droppedUnknownCookie}, Fate {"dropped_no_route", accounts.droppedNoRoute}}) {
+          Fate {"dropped_unknown_cookie", accounts.droppedUnknownCookie}, Fate {"dropped_no_route", accounts.droppedNoRoute},
+          Fate {"dropped_barred_copy", accounts.droppedBarredCopies}}) {
         append(text, "packets_total", "fate", fate);
     }
     text << "# HELP sapphirespan_new_flows_total Openings given an upstream.\n# TYPE sapphirespan_new_flows_total counter\n";
--- a/modules/sapphirespan_cookie/flows/FlowBook.h
+++ b/modules/sapphirespan_cookie/flows/FlowBook.h
@@ -20,6 +20,7 @@
     FlowPhase phase = FlowPhase::opening;
     bool isAwaitingResponse = false; ///< the client sent a request whose response has not begun
     bool hasCarriedRequest = false;
+    bool usesColdSlot = false; ///< its opening used up a slot of a cold upstream
     bool isOpeningRepeated = false; ///< a copy of the opening was read, so another instance may have placed one as well
     bool isRequestRepeated = false; ///< likewise of the request; also set if it may have begun at another instance
     std::uint8_t retransmissions = 0; ///< by the client since the last progress
--- a/modules/sapphirespan_cookie/instance/CookieInstance.h
+++ b/modules/sapphirespan_cookie/instance/CookieInstance.h
@@ -75,6 +75,7 @@
     std::uint64_t progressWhileUnreachable = 0; ///< flows that progressed at an upstream that was taken for unreachable
     std::uint64_t droppedMalformed = 0;
     std::uint64_t droppedUnknownCookie = 0;
+    std::uint64_t droppedBarredCopies = 0; ///< of openings, for which no upstream was chosen anew
     std::uint64_t droppedNoRoute = 0; ///< routes may be out of date, or the initial load took too long
     std::uint64_t reportsSent = 0;
     std::uint64_t reportBytes = 0;
--- a/modules/sapphirespan_cookie/knowledge/RouteDirectory.cpp
+++ b/modules/sapphirespan_cookie/knowledge/RouteDirectory.cpp
@@ -72,4 +72,15 @@
     return route.services.front().service;
 }
 
+bool RouteDirectory::mayPick(const Route &route, const std::string &service)
+{
+    const bool hasWeights
+        = std::any_of(route.services.begin(), route.services.end(), [](const auto &weighted) { return weighted.weight > 0; });
+    if (!hasWeights) {
+        return !route.services.empty() && route.services.front().service == service;
+    }
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [&service](const auto &weighted) { return weighted.weight > 0 && weighted.service == service; });
+}
+
 } // namespace sapphirespan
--- a/modules/sapphirespan_cookie/knowledge/RouteDirectory.h
+++ b/modules/sapphirespan_cookie/knowledge/RouteDirectory.h
@@ -61,6 +61,9 @@
         @param random uniformly distributed over all 64-bit values */
     static const std::string &pickServiceByWeight(const Route &route, std::uint64_t random);
 
+    /** @returns whether pickServiceByWeight() may select a service. */
+    static bool mayPick(const Route &route, const std::string &service);
+
     /** @returns whether a configuration is active. */
     bool isLoaded() const
     {
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.cpp
@@ -62,11 +62,6 @@
     return context.staysInDataCentre && row.entry.dataCentre != context.dataCentre ? ChoiceClass::elsewhere : ChoiceClass::preferred;
 }
 
-bool isCandidate(const UpstreamRow &row, const ChoiceContext &context)
-{
-    return isReady(row, context.now) && !row.hasCookieCollision && (!context.mayTake || context.mayTake(row));
-}
-
 double weightedFlows(const UpstreamRow &row)
 {
     const auto &load = row.load;
@@ -88,7 +83,7 @@
     for (const auto *listed : directory.listedForService(context.service)) {
         const auto &row = *listed;
         const bool isStarting = context.now - row.firstLearnedAt < slowStartTime;
-        if (isCandidate(row, context) && row.evidence.state == Reachability::reachable && !isAvoided(row.evidence, context.now)
+        if (mayTakeOpening(row, context) && row.evidence.state == Reachability::reachable && !isAvoided(row.evidence, context.now)
             && !isStarting) {
             slots += row.entry.slots;
             flows += weightedFlows(row);
@@ -122,6 +117,12 @@
     };
 }
 
+bool mayTakeOpening(const UpstreamRow &row, const ChoiceContext &context)
+{
+    return row.entry.service == context.service && isReady(row, context.now) && !row.hasCookieCollision
+        && (!context.mayTake || context.mayTake(row));
+}
+
 double loadPerSlot(const UpstreamRow &row, const ChoiceContext &context, double averageLoad)
 {
     const bool isWarming = context.now < row.warmUpEndsAt;
@@ -145,7 +146,7 @@
     double bestLoad = 0;
     for (auto *listed : directory.listedForService(context.service)) {
         auto &row = *listed;
-        if (!isCandidate(row, context)) {
+        if (!mayTakeOpening(row, context)) {
             continue;
         }
         double load = loadPerSlot(row, context, averages.load);
--- a/modules/sapphirespan_cookie/placement/UpstreamChoice.h
+++ b/modules/sapphirespan_cookie/placement/UpstreamChoice.h
@@ -15,6 +15,7 @@
     std::uint64_t tieBreakSeed = 0; ///< random, so that instances with the same data do not all choose the same upstream
     std::function<bool(const UpstreamRow &)> mayTake {}; ///< whether an upstream may get this flow at all; empty if all may
     std::function<bool(const UpstreamRow &)> isReservedForOthers {}; ///< whether it gets this flow only if no other can take it
+    bool hasSlotOfUnanswered = false; ///< the opening used up a slot of `unansweredUpstream`, so that a copy needs none
     bool staysInDataCentre = false; ///< upstreams elsewhere get this flow only if none in `dataCentre` can take it
 };
 
@@ -35,6 +36,10 @@
     @param averageLoad mean flows per slot of the service's reachable upstreams */
 double loadPerSlot(const UpstreamRow &row, const ChoiceContext &context, double averageLoad);
 
+/** @returns whether an upstream may take an opening, a first one or a copy, however it compares with others: it has the service and is
+    ready, and the conditions of the context hold. Thread safety: pure function. */
+bool mayTakeOpening(const UpstreamRow &row, const ChoiceContext &context);
+
 /** Chooses the upstream for a new flow: the least loaded one that is ready and reachable, in the preferred data centre unless an
     upstream elsewhere has clearly less load. Suspect and unreachable upstreams are chosen only if no other is
     ready; draining ones never.
--- a/modules/sapphirespan_cookie/systems/CookieEvacuationSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieEvacuationSystem.cpp
@@ -149,9 +149,7 @@
     if (!state.evacuations.isAnyInForce()) {
         return;
     }
-    context.mayTake = [&state, mayTake = std::move(context.mayTake), unanswered = context.unansweredUpstream](const UpstreamRow &row) {
-        return (!isEvacuated(state, row) || row.cookie == unanswered) && (!mayTake || mayTake(row));
-    };
+    addCondition(context, [&state](const UpstreamRow &row) { return !isEvacuated(state, row); });
 }
 
 bool isOnlyEvacuatedLeft(const CookieState &state, const std::string &service)
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -44,26 +44,46 @@
     }
 }
 
-/** @returns whether a retransmitted opening packet goes to another upstream: yes, unless the first one is ready, is not evacuated and
-    has made progress within `recentProgressTime`. */
-bool shouldMoveFlow(const CookieState &state, const UpstreamRow *row)
+/** The upstream that an opening went to before, if it left that unanswered. */
+struct UnansweredUpstream {
+    FlowCookie cookie = 0; ///< 0 for none
+    bool usesColdSlot = false; ///< as of its flow
+};
+
+/** @returns the inputs to the choice of an upstream for an opening, with all that bars upstreams from it. First openings and copies are
+    subject to the same. @param service, dataCentre outlive the context */
+ChoiceContext openingContext(CookieState &state, const std::string &service, const std::string &dataCentre,
+                             const UnansweredUpstream &unanswered)
+{
+    ChoiceContext context {state.now, service, dataCentre, unanswered.cookie};
+    context.hasSlotOfUnanswered = unanswered.usesColdSlot;
+    excludeEvacuated(state, context);
+    addColdUpstreamCondition(state, context);
+    return context;
+}
+
+/** @returns whether a first opening of the route might go to an upstream, and so a copy may. */
+bool mayTakeCopy(CookieState &state, const Route &route, const FlowRow &flow, const UpstreamRow *row)
 {
-    return row == nullptr || !isReady(*row, state.now) || isEvacuated(state, *row)
-        || state.now - row->evidence.lastProgressAt > recentProgressTime;
+    if (row == nullptr || !RouteDirectory::mayPick(route, row->entry.service)) {
+        return false;
+    }
+    const auto context = openingContext(state, row->entry.service, row->entry.dataCentre, {flow.cookie, flow.usesColdSlot});
+    return mayTakeOpening(*row, context);
 }
 
 /** Chooses an upstream for a new flow and forwards its opening packet there.
-    @param avoided the upstream that left an earlier opening packet unanswered, or 0
+    @param unanswered the upstream that left an earlier opening packet unanswered
     @param elsewhere a data centre that takes the flow since home would reject it, or nothing */
 void placeFlow(CookieState &state, const ClientPacket &packet, const std::string &service, std::span<std::uint8_t> bytes,
-               FlowCookie avoided, const std::optional<PreferredDataCentre> &elsewhere = std::nullopt)
+               const UnansweredUpstream &unanswered, const std::optional<PreferredDataCentre> &elsewhere = std::nullopt)
 {
+    const bool isMoved = unanswered.cookie != 0;
     const auto choice = elsewhere ? *elsewhere : chooseDataCentre(state, service, packet.ends.service);
-    ChoiceContext context {state.now, service, choice.dataCentre, avoided, state.random()};
+    auto context = openingContext(state, service, choice.dataCentre, unanswered);
+    context.tieBreakSeed = state.random();
     context.staysInDataCentre = choice.isStrict;
     context.isReservedForOthers = reservationFor(state, service, packet.ends.service);
-    excludeEvacuated(state, context);
-    addColdUpstreamCondition(state, context);
     auto *row = chooseUpstream(state.upstreams, context);
     noteColdUpstreamChoice(state, context, row);
     if (row == nullptr && isOnlyEvacuatedLeft(state, service)) {
@@ -81,13 +101,14 @@
     flow.openingSequence = packet.sequence;
     flow.lastPacketAt = state.now;
     flow.openingPlacedAt = state.now;
-    flow.isOpeningRepeated = packet.acknowledged != 0 || avoided != 0;
+    flow.isOpeningRepeated = packet.acknowledged != 0 || isMoved;
+    flow.usesColdSlot = isLimitedCold(state, *row);
     ++row->load.activeFlows;
     noteOpening(row->evidence, state.now);
     state.upstreamsToEvaluate.insert(row->cookie);
-    ++(avoided != 0 ? state.counters.flowsMoved : state.counters.flowsPlaced);
-    announce(state, avoided != 0 ? CookieEventKind::flowMoved : CookieEventKind::flowPlaced, packet.ends, row->cookie,
-             avoided != 0 ? "its opening packet was not answered" : "");
+    ++(isMoved ? state.counters.flowsMoved : state.counters.flowsPlaced);
+    announce(state, isMoved ? CookieEventKind::flowMoved : CookieEventKind::flowPlaced, packet.ends, row->cookie,
+             isMoved ? "its opening packet was not answered" : "");
     state.format.writeCookie(bytes, row->cookie);
     forwardPacket(state, *row, bytes);
 }
@@ -108,10 +129,38 @@
             noteRejectionWithheld(state, service, packet.ends.service, decision);
         }
     }
-    placeFlow(state, packet, service, bytes, 0, elsewhere);
+    placeFlow(state, packet, service, bytes, {}, elsewhere);
+}
+
+/** Forwards a copy of an opening to the upstream that got the first one, or to another one if that one is barred by now or shows no
+    progress. While the flow is open no copy moves it: its upstream holds it, whatever bars it from new ones. */
+void handleOpeningCopy(CookieState &state, const ClientPacket &packet, const Route &route, FlowRow &flow, std::span<std::uint8_t> bytes)
+{
+    flow.isOpeningRepeated = true;
+    auto *row = state.upstreams.find(flow.cookie);
+    const bool isBarred = flow.phase != FlowPhase::open && !mayTakeCopy(state, route, flow, row);
+    const bool isRetransmission = state.now - flow.openingPlacedAt >= minRetransmissionInterval;
+    if (flow.phase == FlowPhase::opening && isRetransmission) {
+        if (flow.retransmissions++ == 0 && row != nullptr) {
+            noteStall(row->evidence, true, state.now);
+            state.upstreamsToEvaluate.insert(row->cookie);
+        }
+        if (isBarred || state.now - row->evidence.lastProgressAt > recentProgressTime) {
+            const auto &service = RouteDirectory::pickServiceByWeight(route, state.random());
+            placeFlow(state, packet, service, bytes, {flow.cookie, flow.usesColdSlot});
+            return;
+        }
+    }
+    if (isBarred) { // another upstream might answer beside the one that got the opening just now
+        dropPacket(state, state.counters.droppedBarredCopies, packet, "its upstream may take no opening of the route any more");
+    } else if (row != nullptr) {
+        flow.lastPacketAt = state.now;
+        state.format.writeCookie(bytes, row->cookie);
+        forwardPacket(state, *row, bytes);
+    }
 }
 
-/** Places a new flow, or forwards a retransmitted opening packet to the same or another upstream. */
+/** Places a new flow, or handles a copy of its opening. */
 void handleOpeningPacket(CookieState &state, const ClientPacket &packet, std::span<std::uint8_t> bytes)
 {
     const auto *route = state.routes.find(packet.ends.service);
@@ -128,24 +177,7 @@
         admitFlow(state, packet, *route, bytes);
         return;
     }
-    auto &flow = known->second;
-    flow.isOpeningRepeated = true;
-    auto *row = state.upstreams.find(flow.cookie);
-    if (flow.phase == FlowPhase::opening && state.now - flow.openingPlacedAt >= minRetransmissionInterval) {
-        if (flow.retransmissions++ == 0 && row != nullptr) {
-            noteStall(row->evidence, true, state.now);
-            state.upstreamsToEvaluate.insert(row->cookie);
-        }
-        if (shouldMoveFlow(state, row)) {
-            placeFlow(state, packet, RouteDirectory::pickServiceByWeight(*route, state.random()), bytes, flow.cookie);
-            return;
-        }
-    }
-    if (row != nullptr) {
-        flow.lastPacketAt = state.now;
-        state.format.writeCookie(bytes, row->cookie);
-        forwardPacket(state, *row, bytes);
-    }
+    handleOpeningCopy(state, packet, *route, known->second, bytes);
 }
 
 /** Probes the host of an upstream again that answered a request although its host was found silent before that was sent. If it is still
--- a/modules/sapphirespan_cookie/systems/CookieWarmUpSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookieWarmUpSystem.cpp
@@ -121,8 +121,9 @@
     }
     const auto plan = planSlots(*budget, state.settings.warmUp);
     const auto wall = state.clock.wallNow();
-    addCondition(context, [&state, plan, wall, unanswered = context.unansweredUpstream](const UpstreamRow &row) {
-        if (!isCold(state, row) || row.cookie == unanswered || hasSlot(state, row, plan, wall)) {
+    const auto withSlot = context.hasSlotOfUnanswered ? context.unansweredUpstream : 0;
+    addCondition(context, [&state, plan, wall, withSlot](const UpstreamRow &row) {
+        if (!isCold(state, row) || row.cookie == withSlot || hasSlot(state, row, plan, wall)) {
             return true;
         }
         state.warmUp.wasColdPassedOver = true;
@@ -132,7 +133,8 @@
 
 void noteColdUpstreamChoice(CookieState &state, const ChoiceContext &context, const UpstreamRow *chosen)
 {
-    const bool isColdChosen = chosen != nullptr && chosen->cookie != context.unansweredUpstream && isLimitedCold(state, *chosen);
+    const bool hasSlotAlready = chosen != nullptr && context.hasSlotOfUnanswered && chosen->cookie == context.unansweredUpstream;
+    const bool isColdChosen = chosen != nullptr && !hasSlotAlready && isLimitedCold(state, *chosen);
     if (!isColdChosen && !state.warmUp.wasColdPassedOver) {
         return;
     }
--- a/modules/sapphirespan_cookie/systems/CookieWarmUpSystem.h
+++ b/modules/sapphirespan_cookie/systems/CookieWarmUpSystem.h
@@ -16,8 +16,8 @@
 /** @returns whether an upstream is cold and its budget is limited. */
 bool isLimitedCold(const CookieState &state, const UpstreamRow &row);
 
-/** Adds to a choice that a cold upstream needs a slot of this instance. The upstream that left the opening unanswered needs none: the
-    flow may be open there, and another copy opens no second one. */
+/** Adds to a choice that a cold upstream needs a slot of this instance. The upstream that left the opening unanswered needs none if that
+    opening used up one: the flow may be open there, and another copy opens no second one. */
 void addColdUpstreamCondition(CookieState &state, ChoiceContext &context);
 
 /** Uses up a slot if a cold upstream was chosen, and counts what the budgets did. @param chosen null if there was none
--- a/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
+++ b/modules/sapphirespan_cookie/tests/model/CookieFleetModel.h
@@ -52,6 +52,7 @@
     WarmUpSettings warmUp;
     std::vector<ServicePolicy> policies; ///< of services, in every configuration
     std::vector<RequestKind> kinds {RequestKind {}};
+    bool takeClientsLatestCookie = false; ///< also that of an upstream that answers a copy of the opening after the flow has been opened
     std::uint64_t seed = 1;
 };
 
@@ -115,6 +116,7 @@
     bool isListening = true; ///< else its host answers openings with a reset
     bool isDark = false; ///< answers nothing at all
     bool isProbeSilent = false; ///< its queue of new connections is full, though it serves flows
+    bool isFull = false; ///< sends nothing to openings of new flows
     bool isHostSilent = false; ///< its host drops connection attempts to ports on which nothing listens
     bool isProbeRefused = false; ///< nothing listens for connections, though it serves flows
     bool isReading = true; ///< else what arrives waits until readAll()
