Keep packets of an open flow at its upstream if another one answers later

Cause: the cookie alone decided where packets go. Now the number that the client acknowledges with the first packet after its opening decides, where an instance read both: it is that of the upstream at which the flow opens.

Why this works: numbers of another upstream or flow begin at random, so a packet whose numbers continue the flow belongs to it.

--- a/modules/sapphirespan_cookie/flows/FlowBook.cpp
+++ b/modules/sapphirespan_cookie/flows/FlowBook.cpp
@@ -21,6 +21,20 @@
     return static_cast<std::int32_t>(a - b) > 0;
 }
 
+bool endsHandshake(const FlowRow &flow, const ClientPacket &packet)
+{
+    return flow.phase == FlowPhase::opening && packet.sequence == flow.openingSequence + 1;
+}
+
+bool continuesConfirmedFlow(const FlowRow &flow, const ClientPacket &packet)
+{
+    const auto isNear = [](std::uint32_t a, std::uint32_t b) {
+        const auto distance = static_cast<std::int32_t>(a - b);
+        return distance >= -maxSequenceDistance && distance <= maxSequenceDistance;
+    };
+    return flow.isUpstreamConfirmed && isNear(packet.sequence, flow.nextSequence) && isNear(packet.acknowledged, flow.acknowledgedSequence);
+}
+
 FlowRow makeMidstreamFlow(const ClientPacket &packet, FlowCookie cookie, SteadyTime now)
 {
     FlowRow flow;
--- a/modules/sapphirespan_cookie/flows/FlowBook.h
+++ b/modules/sapphirespan_cookie/flows/FlowBook.h
@@ -20,6 +20,7 @@
     FlowPhase phase = FlowPhase::opening;
     bool isAwaitingResponse = false; ///< the client sent a request whose response has not begun
     bool hasCarriedRequest = false;
+    bool isUpstreamConfirmed = false; ///< the packet that ends the handshake was read here, so that its upstream is certain
     bool usesColdSlot = false; ///< its opening used up a slot of a cold upstream
     bool isOpeningRepeated = false; ///< a copy of the opening was read, so another instance may have placed one as well
     bool isRequestRepeated = false; ///< likewise of the request; also set if it may have begun at another instance
@@ -59,6 +60,18 @@
 /** @returns whether sequence number a comes after b, modulo 2^32 (RFC 1982). */
 bool isSequenceAfter(std::uint32_t a, std::uint32_t b);
 
+/** Distance of sequence numbers within which a packet belongs to a flow: a few times what either end has on the way. Those of another flow,
+    or of another upstream that answered the same opening, begin at random. */
+inline constexpr std::int32_t maxSequenceDistance = 64 * 1200;
+
+/** @returns whether a packet is the first one after the handshake of a flow whose opening was read here. What its client acknowledges
+    is the answer of the upstream at which the flow opens. */
+bool endsHandshake(const FlowRow &flow, const ClientPacket &packet);
+
+/** @returns whether a packet belongs to a flow whose upstream is certain. Its cookie may be that of another upstream, which answered a copy
+    of the opening later. */
+bool continuesConfirmedFlow(const FlowRow &flow, const ClientPacket &packet);
+
 /** Creates the row of a flow whose opening this instance has not seen. */
 FlowRow makeMidstreamFlow(const ClientPacket &packet, FlowCookie cookie, SteadyTime now);
 
--- a/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
+++ b/modules/sapphirespan_cookie/systems/CookiePacketSystem.cpp
@@ -277,27 +277,50 @@
     }
 }
 
-/** Handles a packet that does not open a flow. The cookie alone determines its upstream; the current and former services of
-    its route are not consulted, since an instance started after a route change does not know the former ones. The upstream
-    itself rejects a flow that it does not hold. */
+/** @returns the upstream of a packet that does not open a flow, or null if it is not known. @param known its flow, or null */
+UpstreamRow *upstreamOf(CookieState &state, const ClientPacket &packet, const FlowRow *known)
+{
+    if (known != nullptr && continuesConfirmedFlow(*known, packet)) {
+        if (auto *row = state.upstreams.find(known->cookie); row != nullptr) {
+            return row;
+        }
+    }
+    auto *row = state.upstreams.find(packet.cookie);
+    return row == nullptr && packet.cookie == 0 && known != nullptr ? state.upstreams.find(known->cookie) : row;
+}
+
+/** Replaces what is known of a flow whose packet goes to another upstream than its opening, or whose opening was not read here.
+    @param known the flow, or null */
+FlowRow &adoptFlow(CookieState &state, const ClientPacket &packet, FlowCookie cookie, const FlowRow *known)
+{
+    auto flow = makeMidstreamFlow(packet, cookie, state.now);
+    if (known != nullptr && endsHandshake(*known, packet)) {
+        flow.openingSequence = known->openingSequence; // so that further copies of the opening stay with the flow
+        flow.isUpstreamConfirmed = true;
+    }
+    return state.flows[packet.ends] = flow;
+}
+
+/** Handles a packet that does not open a flow. Its cookie determines its upstream, unless the flow is known to be open at another one; the
+    current and former services of its route are not consulted, since an instance started after a route change does not know the
+    former ones. The upstream itself rejects a flow that it does not hold. */
 void handleNonOpeningPacket(CookieState &state, const ClientPacket &packet, std::span<std::uint8_t> bytes)
 {
     if (state.routes.find(packet.ends.service) == nullptr) {
         handleUnroutable(state, packet);
         return;
     }
-    const auto known = state.flows.find(packet.ends);
-    auto *row = state.upstreams.find(packet.cookie);
-    if (row == nullptr && packet.cookie == 0 && known != state.flows.end()) {
-        row = state.upstreams.find(known->second.cookie);
-    }
+    const auto found = state.flows.find(packet.ends);
+    auto *known = found != state.flows.end() ? &found->second : nullptr;
+    auto *row = upstreamOf(state, packet, known);
     if (row == nullptr) {
         dropPacket(state, state.counters.droppedUnknownCookie, packet, "the cookie matches no known upstream");
         return;
     }
-    const bool isKnown = known != state.flows.end() && known->second.cookie == row->cookie;
-    auto &flow = isKnown ? known->second : (state.flows[packet.ends] = makeMidstreamFlow(packet, row->cookie, state.now));
+    const bool isKnown = known != nullptr && known->cookie == row->cookie;
+    auto &flow = isKnown ? *known : adoptFlow(state, packet, row->cookie, known);
     if (isKnown) {
+        flow.isUpstreamConfirmed = flow.isUpstreamConfirmed || endsHandshake(flow, packet);
         const auto update = updateFlow(flow, packet, state.now);
         applyFlowUpdate(state, *row, packet.ends, flow, update);
     }
--- a/modules/sapphirespan_cookie/tests/OpeningCopyTest.cpp
+++ b/modules/sapphirespan_cookie/tests/OpeningCopyTest.cpp
@@ -204,6 +204,51 @@
     BOOST_TEST(instance.state.counters.droppedBarredCopies == 1U);
 }
 
+/** Guards against packets of an open flow that follow the cookie of an upstream which answered a copy of the opening later, and resets
+    the flow since it does not hold it. */
+BOOST_AUTO_TEST_CASE(aLateAnswerMovesNoOpenFlow)
+{
+    constexpr std::uint32_t ofA = 0xfffffff0; // numbers of the upstreams; those of the first one wrap around
+    constexpr std::uint32_t ofB = 0x30000000;
+    for (const bool opensAtFirst : {true, false}) {
+        Instance instance;
+        BOOST_TEST(instance.open(1000) == 1U);
+        drain(instance);
+        instance.pass(200ms);
+        BOOST_TEST(instance.open(1000, 1) == 2U);
+        const auto [own, other] = opensAtFirst ? std::pair(instance.inA, instance.inB) : std::pair(instance.inB, instance.inA);
+        const UpstreamId holder = opensAtFirst ? 1 : 2;
+        const auto acknowledged = opensAtFirst ? ofA : ofB;
+        BOOST_TEST(instance.sendData(1000, own, firstSequence + 1, acknowledged) == holder);
+        BOOST_TEST(instance.sendData(1000, other, firstSequence + 1, acknowledged) == holder);
+        BOOST_TEST(instance.sendData(1000, other, firstSequence + 101, acknowledged + 60000) == holder);
+        BOOST_TEST(instance.open(1000, 2) == holder); // a copy that was held up
+        BOOST_TEST(instance.sendData(1000, other, firstSequence + 201, acknowledged + 60000) == holder);
+    }
+}
+
+/** Guards against packets that are kept from the upstream that their cookie names although nothing is certain: the end of the handshake
+    passed through another instance, or the client's port is used again. */
+BOOST_AUTO_TEST_CASE(withoutCertaintyTheCookieDecides)
+{
+    struct Packet {
+        std::uint32_t sequence;
+        std::uint32_t acknowledged;
+    };
+    constexpr std::uint32_t far = 0x40000000;
+    const std::vector<std::pair<Packet, Packet>> pairs {
+        {{firstSequence + 101, 77}, {firstSequence + 201, 77}},
+        {{firstSequence + 1, 77}, {firstSequence + 1, 77 + far}},
+        {{firstSequence + 1, 77}, {firstSequence + far, 77}},
+    };
+    for (const auto &[first, next] : pairs) {
+        Instance instance;
+        BOOST_TEST(instance.open(1000) == 1U);
+        BOOST_TEST(instance.sendData(1000, instance.inA, first.sequence, first.acknowledged) == 1U);
+        BOOST_TEST(instance.sendData(1000, instance.inB, next.sequence, next.acknowledged) == 2U);
+    }
+}
+
 /** Guards against a copy of the opening of an open flow that goes to another upstream, or to none. */
 BOOST_AUTO_TEST_CASE(copiesOfTheOpeningOfAnOpenFlowStay)
 {
@@ -253,6 +298,51 @@
     sum.misdelivered += counts.misdelivered;
 }
 
+/** Upstreams by turns read late, so that they answer openings after copies went elsewhere, while reasons come up that bar them: their
+    route moves and moves back, they drain, their data centre is evacuated. Clients take the latest cookie.
+    @param isRotating whether instances leave the rotation by turns, so that packets of a flow pass through several */
+FlowCounts barredUpstreamsThatAnswerLate(bool isRotating)
+{
+    FlowCounts sum;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto settings = settingsOfRepeatedData(seed);
+        settings.takeClientsLatestCookie = true;
+        settings.appliesEvacuations = true;
+        auto fleet = warmFleet(settings);
+        for (const auto *dataCentre : {"a", "a", "b", "b", "c", "c"}) {
+            fleet->addUpstream(dataCentre, "orders-next");
+        }
+        fleet->run(1s);
+        fleet->takeCounts();
+        for (std::size_t turn = 0; turn < 12; ++turn) {
+            for (std::size_t index = 0; isRotating && index < fleet->instances.size(); ++index) {
+                fleet->keepOutOfRotation(index, (index + turn) % 3 == 0);
+            }
+            for (std::size_t index = turn % 3; index < fleet->upstreams.size(); index += 3) {
+                fleet->stopReading(index);
+            }
+            fleet->run(100ms);
+            if (turn % 4 == 0) {
+                moveRoutes(*fleet, turn % 8 == 0 ? "orders-next" : "orders");
+            } else if (turn % 4 == 1) {
+                fleet->order("c");
+            } else if (turn % 4 == 2) {
+                fleet->takeBack("c");
+            } else {
+                fleet->drain(turn % fleet->upstreams.size());
+            }
+            fleet->run(Milliseconds(50 + 70 * static_cast<int>(turn)));
+            for (std::size_t index = turn % 3; index < fleet->upstreams.size(); index += 3) {
+                fleet->readAll(index);
+            }
+            fleet->run(400ms);
+        }
+        add(sum, fleet->takeCounts());
+    }
+    BOOST_TEST_MESSAGE("broken " << sum.broken << ", stray " << sum.stray);
+    return sum;
+}
+
 } // namespace
 
 /** Guards against requests that run at the old service after its route has moved, because its only upstreams, which were full, took copies
@@ -291,3 +381,14 @@
     BOOST_TEST(sum.misdelivered == 0);
     BOOST_TEST(sum.broken == 0);
 }
+
+/** Guards against flows that are reset by the upstream that got a copy of their opening, or the first one, and answers after the other
+    one, if clients take the latest cookie. */
+BOOST_AUTO_TEST_CASE(upstreamsThatAnswerLateBreakNoFlow)
+{
+    for (const bool isRotating : {false, true}) {
+        const auto sum = barredUpstreamsThatAnswerLate(isRotating);
+        BOOST_TEST(sum.broken == 0);
+        BOOST_TEST(sum.stray == 0);
+    }
+}
