--- a/modules/sapphirespan_cookie/tests/StoreOutageTest.cpp
+++ b/modules/sapphirespan_cookie/tests/StoreOutageTest.cpp
@@ -382,7 +382,25 @@
     }
 }
 
-/** Guards against the same for orders to empty a data centre. */
+/** Guards against an instance that is cut off from its peers, but not from the store, and waits for them to ask. */
+BOOST_AUTO_TEST_CASE(anInstanceThatHearsNobodyAsksTheStoreItself)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        auto fleet = warmFleet(namedByDataCentre({16, 16, 16}, seed));
+        const auto rankOf = [](const ModelInstance &instance) {
+            const auto &state = instance.decisions->state();
+            return state.peers.rankForStoreQuery(state.now).index;
+        };
+        auto &instances = fleet->instances;
+        const auto alone = std::max_element(instances.begin(), instances.end(),
+                                            [&rankOf](const auto &a, const auto &b) { return rankOf(a) < rankOf(b); });
+        alone->hearsPeers = false;
+        fleet->run(1s);
+        BOOST_TEST(timeToLearnOfADrain(*fleet, 2 * boundOfLargeFleets).count() < drainBoundOfSmallFleets.count());
+    }
+}
+
+/** Guards against orders to empty a data centre that come late whoever the store turns away. */
 BOOST_AUTO_TEST_CASE(ordersComeInTimeWhoeverTheStoreTurnsAway)
 {
     for (const auto &sizes : std::vector<std::vector<int>> {{3, 2, 2}, {16, 16, 16}, {65, 65, 65}}) {
