--- a/modules/sapphirespan_cookie/peers/PeerTable.h
+++ b/modules/sapphirespan_cookie/peers/PeerTable.h
@@ -133,8 +133,8 @@
     }
 
     /** @returns this instance's rank among those heard of within peerPresenceTimeout, whether or not they reach the store. Used to stagger
-        queries of the store that any instance may make but only a few should. All instances of a fleet agree on it, but for those
-        that started or ended within that time. */
+        queries of the store that any instance may make but only a few should. In a large fleet it differs somewhat between
+        instances, since each hears of most others only within that time. */
     StoreQueryRank rankForStoreQuery(SteadyTime now) const;
 
     /** @returns this instance's rank among those alive in its own data centre, from 0. */
